--- /dev/null
+++ b/src/main/java/merlinlever/Control.java
@@ -0,0 +1,719 @@
+package merlinlever;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why).
+ *
+ * <p>How it is called: the adapter makes one for each life of a server and hands over what is stated at start. Each
+ * operation read goes to {@link #take}, which returns its handle; all that happens to it later is a call on that handle
+ * ({@link Operation}). {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
+ * {@link #settle} returns what was decided ({@link Settled}) and when the module wants to look again. Times are spans
+ * since the start. Nothing is shared between instances.
+ */
+public final class Control {
+
+    // The four figures of the design page; q is the waiting over the hold's capacity.
+    private static final double W_Q = 0.8;
+    private static final double MIN_TH = 0.3;
+    private static final double MAX_TH = 0.8;
+    private static final double MAX_P = 0.2;
+    // Coefficients of the least and the most valued tariff.
+    private static final double C_LEAST = 5.0;
+    private static final double C_MOST = 0.1;
+    // Part of the survivable crowd and of the memory that is used.
+    private static final double CROWD = 0.75;
+    private static final double MEMORY = 0.92;
+    // Calls in hand a core.
+    private static final double CALLS = 4;
+    // While something is in hand the module looks this often.
+    private static final Duration LOOK = Duration.ofMillis(20);
+    private static final Duration IDLE_LOOK = Duration.ofMillis(500);
+    // No run has got on for so long, at least, and for so many usual runs: the work hangs.
+    private static final Duration HANG = Duration.ofMillis(1000);
+    private static final double HANG_RUNS = 4;
+    private static final int SLOTS = 8;
+
+    private enum Kind { RETRIABLE, FINGERPRINTED, BINDING }
+
+    private enum Phase { HELD, FOLLOWING, RUNNING, AT_CALL, CALLING, SHARING, OVER }
+
+    /** Run times in coarse bins, each half as wide again as the last, halved now and then so that old ones fade. */
+    private static final class Histogram {
+        private final double[] bins = new double[32];
+        private double total;
+
+        void add(double ms) {
+            int bin = (int) (Math.log(Math.max(ms, 1)) / Math.log(1.5));
+            bins[Math.min(bin, bins.length - 1)]++;
+            if (++total > 60) {
+                total = 0;
+                for (int i = 0; i < bins.length; i++) {
+                    bins[i] /= 2;
+                    total += bins[i];
+                }
+            }
+        }
+
+        double mean() {
+            double sum = 0;
+            for (int i = 0; i < bins.length; i++) {
+                sum += bins[i] * Math.pow(1.5, i + 0.5);
+            }
+            return total < 1 ? 0 : sum / total;
+        }
+    }
+
+    private final class Tariff {
+        final Kind kind;
+        final Duration softLimit;
+        final Duration clientTimeout;
+        final Duration window;
+        final double value;
+        final double lateValue;
+        final double withoutCall;
+        final boolean calls;
+        final Histogram runs = new Histogram();
+        double coefficient = 1;
+
+        Tariff(int index) {
+            String at = "tariffs." + index + ".";
+            softLimit = span(at + "soft-limit", 1000);
+            clientTimeout = span(at + "client-timeout", 2000);
+            window = span(at + "window", 10000);
+            value = number(at + "value", 1);
+            lateValue = number(at + "late-value", 0);
+            withoutCall = Double.parseDouble(nth("server.value-without-call", index, "0"));
+            calls = Boolean.parseBoolean(nth("server.calls-by-tariff", index, "true"));
+            kind = switch (given.getOrDefault(at + "kind", "binding")) {
+                case "retriable" -> Kind.RETRIABLE;
+                case "fingerprinted" -> Kind.FINGERPRINTED;
+                default -> Kind.BINDING;
+            };
+        }
+
+        Duration usualRun() {
+            return millis(runs.mean());
+        }
+    }
+
+    private final class Op implements Operation {
+        final Tariff tariff;
+        final Duration arrival;
+        final Duration due;
+        final Duration soft;
+        final double kb;
+        final boolean sharable;
+        Phase phase = Phase.HELD;
+        boolean answered;
+        boolean ran;
+        boolean finished;
+        boolean halting;
+        Duration startedAt;
+        Duration over;
+        Duration keptUntil;
+        Duration callAfter = Duration.ZERO;
+        int callTries;
+        Op original;
+        final List<Op> followers = new ArrayList<>(0);
+
+        Op(Tariff tariff, Duration arrival, Duration due, double kb, boolean sharable) {
+            this.tariff = tariff;
+            this.arrival = arrival;
+            this.due = due;
+            this.kb = kb;
+            this.sharable = sharable;
+            soft = earlier(arrival.plus(tariff.softLimit), due);
+        }
+
+        boolean inHand() {
+            return phase != Phase.OVER;
+        }
+
+        double memory() {
+            return ran && phase != Phase.HELD && phase != Phase.SHARING ? kb * runFactor : kb;
+        }
+
+        @Override public void ended(Duration now, Ending how) {
+            clock(now);
+            if (phase == Phase.OVER || how == Ending.NEVER_BEGUN && phase == Phase.HELD) {
+                return;
+            }
+            if (how == Ending.STOPPED && !answered && halting) {
+                move(this, Phase.HELD);
+                halting = false;
+                return;
+            }
+            progress = now;
+            finished = how == Ending.OK || how == Ending.ERROR;
+            if (finished && phase == Phase.RUNNING) {
+                completions[slot]++;
+                tariff.runs.add(ms(now.minus(startedAt)));
+            }
+            if (how == Ending.OK && sharable && keptUntil != null) {
+                keep(this, now, fresh);
+            }
+            finish(this, now);
+        }
+
+        @Override public void reachedCall(Duration now) {
+            clock(now);
+            progress = now;
+            if (phase == Phase.RUNNING) {
+                move(this, Phase.AT_CALL);
+            }
+        }
+
+        @Override public void callEnded(Duration now, Ending how, Duration took) {
+            clock(now);
+            if (phase != Phase.CALLING) {
+                return;
+            }
+            if (how == Ending.OK) {
+                move(this, Phase.RUNNING);
+                return;
+            }
+            move(this, Phase.AT_CALL);
+            callTries++;
+            // Rule 2: a call that may have had its effect is not made again for an operation with an effect.
+            if (!how.provesUnrun() && tariff.kind != Kind.RETRIABLE || callTries >= 3) {
+                breakOff(this, now);
+            } else {
+                callAfter = now.plus(millis(50.0 * callTries));
+            }
+        }
+
+        @Override public void callerGone(Duration now) {
+            clock(now);
+            answered = true;
+            if (phase == Phase.HELD || phase == Phase.FOLLOWING || phase == Phase.SHARING) {
+                finish(this, now);
+            } else if (phase == Phase.RUNNING && mayHalt && tariff.kind == Kind.RETRIABLE && !halting) {
+                halting = true;
+                next.halted.add(this);
+            }
+        }
+    }
+
+    private final Map<String, String> given;
+    private final SplittableRandom chance;
+    private final List<Tariff> tariffs = new ArrayList<>();
+    private final int cores;
+    private final double memoryKb;
+    private final double runFactor;
+    private final double fingerprintKb;
+    private final Duration fresh;
+    private final boolean mayHalt;
+    private final Duration span;
+    private final int runQueueAt;
+
+    private Settled next = new Settled();
+    private final List<Op> hand = new ArrayList<>();
+    private final ArrayDeque<Op> past = new ArrayDeque<>();
+    private final ArrayDeque<Op> table = new ArrayDeque<>();
+    private int held;
+    private int onCores;
+    private int atCalls;
+    private int calling;
+    private double usedKb;
+    private double avg;
+    private int count;
+    private Duration clock = Duration.ZERO;
+    private Duration slotEnd;
+    private int slot;
+    private final double[] completions = new double[SLOTS];
+    private final double[] busy = new double[SLOTS];
+    private double runQueue;
+    private int startsSince;
+    private Duration progress = Duration.ZERO;
+    private Duration leaveAt;
+    private Duration stopAt;
+    private boolean hung;
+    private boolean saidHealthy = true;
+    private boolean opened;
+    private double level;
+    private double saidLevel;
+    private Duration levelAt = Duration.ZERO;
+
+    /** A module for one life of a server: what is stated at start, by name, and the seed of its chance. */
+    public Control(Map<String, String> given, long seed) {
+        this.given = given;
+        chance = new SplittableRandom(seed);
+        cores = (int) Math.max(1, number("server.cores", 1));
+        memoryKb = number("server.memory-kb", 1e9);
+        runFactor = number("server.run-factor", 4);
+        fingerprintKb = number("server.kb-per-fingerprint", 0);
+        fresh = span("server.fresh-for", 0);
+        mayHalt = !given.getOrDefault("server.halt", "none").equals("none");
+        runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
+        for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
+            tariffs.add(new Tariff(i));
+        }
+        span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
+        slotEnd = span.dividedBy(SLOTS);
+        double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
+        double most = tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
+        for (Tariff t : tariffs) {
+            double rank = most > least ? Math.log(t.value / least) / Math.log(most / least) : 0.5;
+            t.coefficient = C_LEAST * Math.pow(C_MOST / C_LEAST, rank);
+        }
+    }
+
+    // ---- what is stated at start
+
+    private double number(String name, double absent) {
+        try {
+            return Double.parseDouble(given.getOrDefault(name, "" + absent));
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
+    private Duration span(String name, double absentMs) {
+        return millis(number(name, absentMs));
+    }
+
+    private String nth(String name, int index, String absent) {
+        String[] row = given.getOrDefault(name, "").split(",");
+        return index < row.length && !row[index].isEmpty() ? row[index] : absent;
+    }
+
+    private static Duration millis(double ms) {
+        return Duration.ofNanos((long) (ms * 1e6));
+    }
+
+    private static double ms(Duration span) {
+        return span.toNanos() / 1e6;
+    }
+
+    private static Duration earlier(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
+    private static Duration later(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    private static boolean reached(Duration now, Duration point) {
+        return now.compareTo(point) >= 0;
+    }
+
+    // ---- what is measured
+
+    private void clock(Duration now) {
+        while (reached(now, slotEnd)) {
+            busy[slot] += ms(slotEnd.minus(clock)) * Math.min(onCores, cores);
+            clock = slotEnd;
+            slotEnd = slotEnd.plus(span.dividedBy(SLOTS));
+            slot = (slot + 1) % SLOTS;
+            completions[slot] = 0;
+            busy[slot] = 0;
+        }
+        busy[slot] += ms(now.minus(clock)) * Math.min(onCores, cores);
+        clock = now;
+    }
+
+    /**
+     * The hold's capacity: completions over the last soft-limit span, as if the cores had been busy all through it,
+     * and never under the core count. Scaling by the busy part keeps a quiet server from taking its few arrivals for
+     * all that it can do.
+     */
+    private double capacity() {
+        double done = 0;
+        double worked = 0;
+        for (int i = 0; i < SLOTS; i++) {
+            done += completions[i];
+            worked += busy[i];
+        }
+        double all = cores * ms(span);
+        return Math.max(cores, worked < 0.1 * all ? 0 : done * all / worked);
+    }
+
+    private double survivable() {
+        double share = 1;
+        if (given.getOrDefault("server.cold", "false").equals("true")) {
+            double from = number("rules.cold-share", 0.2);
+            share = Math.min(1, from + (1 - from) * ms(clock) / Math.max(1, number("rules.cold", 1)));
+        }
+        return Math.max(cores, CROWD * cores * (1 + (number("rules.crowd-factor", 2) - 1) * share));
+    }
+
+    // ---- changes of phase
+
+    private void move(Op op, Phase to) {
+        tally(op, -1);
+        op.phase = to;
+        tally(op, 1);
+    }
+
+    private void tally(Op op, int sign) {
+        usedKb += sign * (op.phase == Phase.OVER ? 0 : op.memory());
+        switch (op.phase) {
+            case HELD -> held += sign;
+            case RUNNING -> onCores += sign;
+            case AT_CALL -> atCalls += sign;
+            case CALLING -> calling += sign;
+            default -> {
+            }
+        }
+    }
+
+    private void finish(Op op, Duration now) {
+        if (op.phase == Phase.OVER) {
+            return;
+        }
+        move(op, Phase.OVER);
+        op.over = now;
+        past.add(op);
+        promote(op, now);
+    }
+
+    /** The operation ended unrun: the first of those that wait for its outcome takes its place. */
+    private void promote(Op op, Duration now) {
+        Op heir = null;
+        for (Op follower : op.followers) {
+            if (follower.phase != Phase.FOLLOWING) {
+                continue;
+            }
+            if (op.ran) {
+                share(follower, op);
+            } else if (heir == null) {
+                heir = follower;
+                heir.original = null;
+                move(heir, Phase.HELD);
+                keepFor(heir, now);
+            } else {
+                follower.original = heir;
+                heir.followers.add(follower);
+            }
+        }
+        op.followers.clear();
+    }
+
+    private void share(Op op, Op original) {
+        op.original = original;
+        move(op, Phase.SHARING);
+        next.shared.add(op);
+    }
+
+    private void keep(Op op, Duration now, Duration length) {
+        if (op.keptUntil == null) {
+            usedKb += fingerprintKb;
+            table.add(op);
+        }
+        op.keptUntil = now.plus(length);
+        next.kept.add(new Settled.Timed(op, length));
+    }
+
+    private void keepFor(Op op, Duration now) {
+        if (op.tariff.kind == Kind.FINGERPRINTED) {
+            keep(op, now, op.tariff.window);
+        } else if (op.sharable) {
+            keep(op, now, op.due.minus(now).plus(fresh));
+        }
+    }
+
+    private void forget(Op op) {
+        if (op.keptUntil != null) {
+            op.keptUntil = null;
+            usedKb -= fingerprintKb;
+            table.remove(op);
+            next.forgotten.add(op);
+        }
+    }
+
+    private void pushBack(Op op, Duration now, boolean nowhereElse, Duration stayAway) {
+        if (op.answered || op.ran) {
+            return;
+        }
+        op.answered = true;
+        next.pushedBack.add(new Settled.Pushback(op, nowhereElse, stayAway));
+        forget(op);
+        finish(op, now);
+    }
+
+    private void breakOff(Op op, Duration now) {
+        if (op.answered) {
+            return;
+        }
+        op.answered = true;
+        next.brokenOff.add(op);
+        if (op.phase == Phase.HELD || op.phase == Phase.FOLLOWING || op.phase == Phase.SHARING) {
+            finish(op, now);
+        }
+    }
+
+    // ---- arrivals
+
+    /**
+     * Takes an operation that has been read and owes it one final answer from here on.
+     *
+     * @param clientTimeout when its caller gives up, or null where that is not told
+     * @param work the hint of its cost, or null
+     * @param tenant whose it is, or -1
+     * @param again whether it is marked as a further try
+     * @param standing its place by value, from 0 to 1, or NaN
+     * @param sharable whether it is a read that names its subject
+     * @param repeats the kept operation that it repeats, or null
+     */
+    public Operation take(Duration now, int tariff, Duration unread, Duration clientTimeout, double kb, Duration work,
+            int tenant, int caller, boolean again, double standing, boolean sharable, Operation repeats) {
+        clock(now);
+        Tariff t = tariffs.get(tariff);
+        Duration arrival = now.minus(unread);
+        Duration due = later(now, clientTimeout != null ? clientTimeout : arrival.plus(t.clientTimeout));
+        Op op = new Op(t, arrival, due, kb, sharable && t.kind == Kind.RETRIABLE && !fresh.isZero());
+        if (hand.isEmpty()) {
+            progress = now;
+        }
+        hand.add(op);
+        tally(op, 1);
+        if (repeats != null && joins(op, repeats, now)) {
+            return op;
+        }
+        arrive(op, now);
+        return op;
+    }
+
+    /** Rule 2: a repeat of what may have run shares its outcome or is broken off; it is never run itself. */
+    private boolean joins(Op op, Operation repeats, Duration now) {
+        Op original = repeats instanceof Op ? (Op) repeats : null;
+        while (original != null && original.phase == Phase.FOLLOWING) {
+            original = original.original;
+        }
+        if (original == null) {
+            if (op.tariff.kind != Kind.RETRIABLE) {
+                breakOff(op, now);
+            }
+            return op.answered;
+        }
+        if (original.phase == Phase.HELD && !original.ran) {
+            op.original = original;
+            original.followers.add(op);
+            move(op, Phase.FOLLOWING);
+            return true;
+        }
+        boolean usable = original.inHand() ? !original.halting : original.finished;
+        if (usable) {
+            share(op, original);
+        } else if (op.tariff.kind != Kind.RETRIABLE && original.ran) {
+            breakOff(op, now);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void arrive(Op op, Duration now) {
+        double q = held / capacity();
+        avg = (1 - W_Q) * avg + W_Q * q;
+        Tariff t = op.tariff;
+        // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
+        if (leaveAt != null && (reached(op.arrival, leaveAt.plus(span("rules.drain-grace", 0)))
+                || reached(now.plus(t.usualRun()).plus(LOOK), stopAt))) {
+            pushBack(op, now, false, longestStayAway());
+            return;
+        }
+        // Rule 4: the memory for the fingerprint and one run is there, or it is not taken.
+        if (usedKb + (t.kind == Kind.FINGERPRINTED || op.sharable ? fingerprintKb : 0) > MEMORY * memoryKb) {
+            pushBack(op, now, false, Duration.ZERO);
+            return;
+        }
+        if (hung) {
+            pushBack(op, now, false, longestStayAway());
+            return;
+        }
+        // Work that cannot make its soft limit is waste.
+        if (hopeless(op, now, millis(q * ms(span)))) {
+            pushBack(op, now, false, Duration.ZERO);
+            return;
+        }
+        if (refuses(op)) {
+            count = 0;
+            pushBack(op, now, avg > MAX_TH, Duration.ZERO);
+            return;
+        }
+        count++;
+        keepFor(op, now);
+    }
+
+    /** The class-weighted RED of the design page. */
+    private boolean refuses(Op op) {
+        if (avg < MIN_TH) {
+            return false;
+        }
+        double pb = (avg - MIN_TH) / (MAX_TH - MIN_TH) * MAX_P;
+        double pa = avg > MAX_TH || count * pb >= 1 ? 1 : op.tariff.coefficient * pb / (1 - count * pb);
+        return chance.nextDouble() < pa;
+    }
+
+    private boolean hopeless(Op op, Duration now, Duration wait) {
+        return onCores >= cores && reached(now.plus(wait).plus(op.tariff.usualRun()), op.soft);
+    }
+
+    private Duration longestStayAway() {
+        return given.getOrDefault("limits.stay-away", "false").equals("true")
+                ? span("limits.longest-stay-away", 0) : Duration.ZERO;
+    }
+
+    /** The notice to leave: the process is stopped at that time. */
+    public void leave(Duration now, Duration stop) {
+        clock(now);
+        leaveAt = now;
+        stopAt = stop;
+        next.log.add(String.format(Locale.ROOT, "leaving: stop in %.0f ms, held=%d run=%d", ms(stop.minus(now)), held,
+                onCores + atCalls + calling));
+    }
+
+    /** The gauges, in the order that was stated at start. */
+    public void look(Duration now, double[] gauges) {
+        clock(now);
+        if (runQueueAt >= 0 && runQueueAt < gauges.length) {
+            runQueue = gauges[runQueueAt];
+            startsSince = 0;
+        }
+    }
+
+    // ---- after each batch
+
+    /** Decides all that is open and returns it with what was decided since the last time. */
+    public Settled settle(Duration now) {
+        clock(now);
+        watch(now);
+        for (int i = 0; i < hand.size(); i++) {
+            sweep(hand.get(i), now);
+        }
+        hand.removeIf(op -> !op.inHand());
+        expire(now);
+        for (Op op : hand) {
+            if (op.phase == Phase.AT_CALL && !op.answered && reached(now, op.callAfter) && calling < CALLS * cores) {
+                move(op, Phase.CALLING);
+                next.called.add(new Settled.Timed(op, later(Duration.ofMillis(1), op.due.minus(now))));
+            }
+        }
+        start(now);
+        say(now);
+        if (!opened) {
+            opened = true;
+            next.healthy = true;
+        }
+        Settled settled = next;
+        next = new Settled();
+        settled.nextLook = now.plus(hand.isEmpty() ? IDLE_LOOK : LOOK);
+        if (stopAt != null && now.compareTo(stopAt) < 0) {
+            settled.nextLook = earlier(settled.nextLook, later(stopAt.minus(LOOK), now.plusMillis(1)));
+        }
+        return settled;
+    }
+
+    /** Changes of mode: whether the work hangs. */
+    private void watch(Duration now) {
+        double usual = tariffs.stream().mapToDouble(t -> t.runs.mean()).max().orElse(0);
+        boolean stuck = onCores > 0 && reached(now, progress.plus(later(HANG, millis(HANG_RUNS * usual))));
+        if (stuck != hung) {
+            hung = stuck;
+            next.log.add(String.format(Locale.ROOT, "%s: run=%d held=%d silent=%.0f ms", hung ? "hangs" : "works again",
+                    onCores, held, ms(now.minus(progress))));
+        }
+        boolean healthy = !hung && leaveAt == null;
+        if (healthy != saidHealthy) {
+            saidHealthy = healthy;
+            next.healthy = healthy;
+        }
+    }
+
+    private void sweep(Op op, Duration now) {
+        if (!op.inHand() || op.answered) {
+            return;
+        }
+        boolean last = stopAt != null && reached(now.plus(LOOK).plus(LOOK), stopAt);
+        boolean waits = op.phase == Phase.HELD || op.phase == Phase.FOLLOWING;
+        // Rule 1: the answer comes before the client timeout, and before the stop.
+        if (last || reached(now, op.due)) {
+            if (waits && !op.ran) {
+                pushBack(op, now, !last, Duration.ZERO);
+            } else {
+                breakOff(op, now);
+                halt(op);
+            }
+        } else if (waits && !op.ran) {
+            if (hung || reached(now.plus(op.tariff.usualRun()), op.soft)) {
+                pushBack(op, now, !hung, hung ? longestStayAway() : Duration.ZERO);
+            }
+        } else if (op.phase != Phase.SHARING && reached(now, op.soft) && op.tariff.lateValue == 0 && held > 0 && mayHalt) {
+            breakOff(op, now);
+            halt(op);
+        }
+    }
+
+    private void halt(Op op) {
+        if (mayHalt && op.phase == Phase.RUNNING && !op.halting) {
+            op.halting = true;
+            next.halted.add(op);
+        }
+    }
+
+    private void expire(Duration now) {
+        table.removeIf(op -> {
+            boolean out = reached(now, op.keptUntil);
+            if (out) {
+                op.keptUntil = null;
+                usedKb -= fingerprintKb;
+            }
+            return out;
+        });
+        while (!past.isEmpty()
+                && reached(now, past.peek().over.plus(past.peek().tariff.window).plus(Duration.ofSeconds(30)))) {
+            next.released.add(past.poll());
+        }
+    }
+
+    /** Oldest first, by the run-queue gauge plus the starts since it, at least the core count, under the ceiling. */
+    private void start(Duration now) {
+        double most = survivable();
+        for (Op op : hand) {
+            if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE) {
+                continue;
+            }
+            if (onCores >= cores && runQueue + startsSince >= cores || onCores + atCalls + calling >= most || hung) {
+                return;
+            }
+            if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
+                return;
+            }
+            if (op.tariff.calls && atCalls + calling >= CALLS * cores) {
+                continue;
+            }
+            if (onCores == 0) {
+                progress = now;
+            }
+            op.ran = true;
+            op.startedAt = now;
+            move(op, Phase.RUNNING);
+            next.started.add(op);
+            startsSince++;
+            promote(op, now);
+        }
+    }
+
+    /** The free value sent back, where there is one. */
+    private void say(Duration now) {
+        if (!given.getOrDefault("server.say", "none").equals("level") || !reached(now, levelAt)) {
+            return;
+        }
+        levelAt = now.plusMillis(100);
+        double now1 = held / capacity();
+        level += now1 > MIN_TH ? 0.04 * Math.min(1, (now1 - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
+        level = Math.max(0, Math.min(0.75, level));
+        if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
+            saidLevel = level;
+            next.level = level;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: picks the subcommand and hands over. */
+package merlinlever.cli;
--- /dev/null
+++ b/src/main/java/merlinlever/wire/WireHost.java
@@ -0,0 +1,108 @@
+package merlinlever.wire;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Hosts any number of instances on the bench's wire, each with nothing in common with the others. */
+public final class WireHost {
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final PrintStream errors;
+    private final Map<String, Instance> instances = new HashMap<>();
+    private long lines;
+
+    public WireHost(InputStream in, OutputStream out, PrintStream errors) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+        this.errors = errors;
+    }
+
+    /** Serves batches until the input ends; returns the exit status of the process. */
+    public int serve() throws IOException {
+        try {
+            StringBuilder reply = new StringBuilder();
+            for (String frame = next(); frame != null; frame = next()) {
+                if (frame.isEmpty()) {
+                    continue;
+                }
+                reply.setLength(0);
+                batch(new Line(frame, lines), reply);
+                out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            }
+            return 0;
+        } catch (Line.Malformed e) {
+            errors.println("wirehost: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private String next() throws IOException {
+        lines++;
+        return in.readLine();
+    }
+
+    private void batch(Line frame, StringBuilder reply) throws IOException {
+        if (!frame.word().equals("frame")) {
+            throw frame.fault("a batch begins with 'frame', not with '" + frame.word() + "'");
+        }
+        double now = frame.neededNumber("now");
+        long number = frame.neededWhole("n");
+        Map<String, Instance> told = new LinkedHashMap<>();
+        for (String text = next(); ; text = next()) {
+            if (text == null) {
+                throw new Line.Malformed("line " + lines + ": the input ends within a batch");
+            }
+            if (text.equals("eof_batch")) {
+                break;
+            }
+            event(text, now, told, reply);
+        }
+        told.forEach((name, instance) -> {
+            if (instances.get(name) == instance) {
+                guarded(instance, reply, () -> instance.settle(now, reply));
+            }
+        });
+        reply.append("ready n=").append(number).append('\n');
+    }
+
+    private void event(String text, double now, Map<String, Instance> told, StringBuilder reply) {
+        Line line = new Line(text, lines);
+        String who = line.needed("who");
+        if (line.word().equals("enlist")) {
+            instances.put(who, new Instance(line, now));
+            told.put(who, instances.get(who));
+            return;
+        }
+        Instance instance = instances.get(who);
+        if (instance == null) {
+            throw line.fault("no instance " + who);
+        }
+        if (line.word().equals("exit")) {
+            instances.remove(who);
+            return;
+        }
+        told.put(who, instance);
+        guarded(instance, reply, () -> instance.tell(line, now));
+    }
+
+    /** A failure inside the decisions is said on the wire; one of the input ends the host. */
+    private static void guarded(Instance instance, StringBuilder reply, Runnable part) {
+        try {
+            part.run();
+        } catch (Line.Malformed e) {
+            throw e;
+        } catch (RuntimeException e) {
+            instance.fault(e + " at " + e.getStackTrace()[0], reply);
+        }
+    }
+}
