Count unread time as part of the hold and let it drive the level

Guards against any backlog before the door, whatever its cause; could harm where arrivals come late by the network alone.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -223,6 +223,7 @@
     private int calling;
     private double usedKb;
     private double avg;
+    private Duration avgAt = Duration.ZERO;
     private int count;
     private Duration clock = Duration.ZERO;
     private Duration slotEnd;
@@ -511,7 +512,9 @@
     }
 
     private void arrive(Op op, Duration now) {
-        double q = held / capacity();
+        // What waits unread waits as well, only out of sight: its time counts as that part of the span.
+        double q = held / capacity() + ms(now.minus(op.arrival)) / ms(span);
+        avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
@@ -530,7 +533,7 @@
             return;
         }
         // Work that cannot make its soft limit is waste.
-        if (hopeless(op, now, millis(q * ms(span)))) {
+        if (hopeless(op, now, millis(held / capacity() * ms(span)))) {
             pushBack(op, now, false, Duration.ZERO);
             return;
         }
@@ -708,9 +711,9 @@
             return;
         }
         levelAt = now.plusMillis(100);
-        double now1 = held / capacity();
-        level += now1 > MIN_TH ? 0.04 * Math.min(1, (now1 - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
-        level = Math.max(0, Math.min(0.75, level));
+        double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
+        level += pressure > MIN_TH ? 0.04 * Math.min(1, (pressure - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
+        level = Math.max(0, Math.min(0.9, level));
         if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
             saidLevel = level;
             next.level = level;
