--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -539,7 +539,7 @@
         }
         if (refuses(op)) {
             count = 0;
-            pushBack(op, now, avg > MAX_TH, Duration.ZERO);
+            pushBack(op, now, false, longestStayAway());
             return;
         }
         count++;
