--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -23,7 +23,7 @@
     private static final double W_Q = 0.8;
     private static final double MIN_TH = 0.3;
     private static final double MAX_TH = 0.8;
-    private static final double MAX_P = 0.2;
+    private static final double MAX_P = 0.4;
     // Coefficients of the least and the most valued tariff.
     private static final double C_LEAST = 5.0;
     private static final double C_MOST = 0.1;
@@ -38,6 +38,8 @@
     // No run has got on for so long, at least, and for so many usual runs: the work hangs.
     private static final Duration HANG = Duration.ofMillis(1000);
     private static final double HANG_RUNS = 4;
+    // Part of the difference by which the quickest reading seen is forgotten with each arrival.
+    private static final double FORGET = 0.002;
     private static final int SLOTS = 8;
 
     private enum Kind { RETRIABLE, FINGERPRINTED, BINDING }
@@ -223,6 +225,7 @@
     private int calling;
     private double usedKb;
     private double avg;
+    private double quickestRead = 1e9;
     private Duration avgAt = Duration.ZERO;
     private int count;
     private Duration clock = Duration.ZERO;
@@ -512,8 +515,11 @@
     }
 
     private void arrive(Op op, Duration now) {
-        // What waits unread waits as well, only out of sight: its time counts as that part of the span.
-        double q = held / capacity() + ms(now.minus(op.arrival)) / ms(span);
+        // What waits unread waits as well, only out of sight: its time, beyond what reading takes at its quickest,
+        // counts as that part of the span.
+        double unread = ms(now.minus(op.arrival));
+        quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
+        double q = held / capacity() + (unread - quickestRead) / ms(span);
         avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
