--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -33,7 +33,7 @@
     // Calls in hand a core.
     private static final double CALLS = 4;
     // While something is in hand the module looks this often.
-    private static final Duration LOOK = Duration.ofMillis(20);
+    private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration IDLE_LOOK = Duration.ofMillis(500);
     // No run has got on for so long, at least, and for so many usual runs: the work hangs.
     private static final Duration HANG = Duration.ofMillis(1000);
@@ -352,6 +352,8 @@
 
     private void move(Op op, Phase to) {
         tally(op, -1);
+        // The gauge counts what has left the cores since it was read, and not what has come back from a call.
+        startsSince += (to == Phase.RUNNING ? 1 : 0) - (op.phase == Phase.RUNNING ? 1 : 0);
         op.phase = to;
         tally(op, 1);
     }
@@ -690,7 +692,7 @@
             if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE) {
                 continue;
             }
-            if (onCores >= cores && runQueue + startsSince >= cores || onCores + atCalls + calling >= most || hung) {
+            if (onCores >= 1 && runQueue + startsSince >= cores || onCores + atCalls + calling >= most || hung) {
                 return;
             }
             if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
@@ -706,7 +708,6 @@
             op.startedAt = now;
             move(op, Phase.RUNNING);
             next.started.add(op);
-            startsSince++;
             promote(op, now);
         }
     }
