--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -542,7 +542,7 @@
         }
         // Work that cannot make its soft limit is waste.
         if (hopeless(op, now, millis(held / capacity() * ms(span)))) {
-            pushBack(op, now, false, Duration.ZERO);
+            pushBack(op, now, false, longestStayAway());
             return;
         }
         if (refuses(op)) {
