--- /dev/null
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -0,0 +1,198 @@
+package merlinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** Each guard of the four rules and each failure met on the bench, by itself. */
+class GuardsTest {
+
+    private final Server server = new Server();
+
+    @Example
+    void aRunStillGoingIsBrokenOffAtItsClientTimeout() {
+        Operation charge = server.take(Server.CHARGE);
+        assertEquals(List.of(charge), server.settle().started);
+        assertTrue(server.after(2990).brokenOff.isEmpty());
+        Settled due = server.after(10);
+        assertEquals(List.of(charge), due.brokenOff);
+        assertEquals(List.of(charge), due.halted);
+        charge.ended(server.now, Ending.STOPPED);
+        assertTrue(server.after(10).started.isEmpty(), "what ran with an effect is not run again");
+    }
+
+    @Example
+    void whatWaitsTooLongIsPushedBackUnrun() {
+        server.full();
+        Operation third = server.take(Server.LOOKUP);
+        assertTrue(server.settle().started.isEmpty());
+        server.after(900);
+        assertFalse(server.pushedBack(third));
+        server.after(100);
+        assertTrue(server.pushedBack(third));
+    }
+
+    @Example
+    void aRepeatOfAFingerprintedRunSharesItsOutcome() {
+        Operation first = server.take(Server.CHARGE);
+        assertEquals(first, server.settle().kept.get(0).operation());
+        Operation second = server.take(Server.CHARGE, 0, 10, first);
+        Settled settled = server.settle();
+        assertEquals(List.of(second), settled.shared);
+        assertTrue(settled.started.isEmpty());
+        first.ended(server.now, Ending.OK);
+        Operation third = server.take(Server.CHARGE, 0, 10, first);
+        assertEquals(List.of(third), server.after(5000).shared);
+    }
+
+    @Example
+    void aRepeatOfAStoppedChargeIsBrokenOff() {
+        Operation first = server.take(Server.CHARGE);
+        server.settle();
+        server.after(3000);
+        first.ended(server.now, Ending.STOPPED);
+        Operation second = server.take(Server.CHARGE, 0, 10, first);
+        assertEquals(List.of(second), server.settle().brokenOff);
+    }
+
+    @Example
+    void aRepeatOfAnUnknownChargeIsBrokenOffAndOneOfAnUnknownLookupIsNot() {
+        Operation unknown = new Server().take(Server.CHARGE);
+        Operation charge = server.take(Server.CHARGE, 0, 10, foreign(unknown));
+        assertEquals(List.of(charge), server.settle().brokenOff);
+        Operation lookup = server.take(Server.LOOKUP, 0, 10, foreign(unknown));
+        assertEquals(List.of(lookup), server.settle().started);
+    }
+
+    private static Operation foreign(Operation operation) {
+        return new Operation() {
+            @Override public void ended(java.time.Duration now, Ending how) {
+                operation.ended(now, how);
+            }
+
+            @Override public void reachedCall(java.time.Duration now) {
+                operation.reachedCall(now);
+            }
+
+            @Override public void callEnded(java.time.Duration now, Ending how, java.time.Duration took) {
+                operation.callEnded(now, how, took);
+            }
+
+            @Override public void callerGone(java.time.Duration now) {
+                operation.callerGone(now);
+            }
+        };
+    }
+
+    @Example
+    void aRepeatTakesThePlaceOfAnOriginalWhoseCallerLeft() {
+        server.full();
+        Operation first = server.take(Server.CHARGE);
+        Operation second = server.take(Server.CHARGE, 0, 10, first);
+        assertTrue(server.settle().shared.isEmpty());
+        first.callerGone(server.now);
+        assertEquals(second, server.settle().kept.get(0).operation(), "the entry passes on");
+        server.control().look(server.now, new double[] {0, 0});
+        assertEquals(List.of(second), server.settle().started);
+    }
+
+    @Example
+    void aCallThatMayHaveHadItsEffectIsNotMadeAgain() {
+        for (Ending how : new Ending[] {Ending.ERROR, Ending.GIVEN_UP, Ending.CUT_OFF}) {
+            Operation charge = called(how);
+            assertEquals(List.of(charge), server.after(200).brokenOff, how + " proves nothing");
+            charge.ended(server.now, Ending.STOPPED);
+        }
+        for (Ending how : new Ending[] {Ending.TURNED_AWAY, Ending.UNREACHABLE}) {
+            Operation charge = called(how);
+            assertEquals(charge, server.after(200).called.get(0).operation(), how + " proves that it never ran");
+            charge.ended(server.now, Ending.OK);
+        }
+    }
+
+    private Operation called(Ending how) {
+        Operation charge = server.take(Server.CALLING);
+        server.settle();
+        charge.reachedCall(server.now);
+        assertEquals(charge, server.settle().called.get(0).operation());
+        charge.callEnded(server.now, how, Server.millis(0));
+        return charge;
+    }
+
+    @Example
+    void afterTheGraceNothingNewRunsAndAllIsAnsweredBeforeTheStop() {
+        Operation running = server.take(Server.CHARGE);
+        assertEquals(List.of(running), server.settle().started);
+        server.control().leave(server.now, Server.millis(2600));
+        assertEquals(Boolean.FALSE, server.settle().healthy);
+        Operation within = server.take(Server.LOOKUP);
+        assertEquals(List.of(within), server.after(0).started);
+        server.after(2000);
+        Operation late = server.take(Server.LOOKUP);
+        assertTrue(server.settle().started.isEmpty());
+        assertTrue(server.pushedBack(late));
+        Settled before = server.after(585);
+        assertTrue(before.brokenOff.contains(running));
+    }
+
+    @Example
+    void memoryForTheFingerprintOrNothing() {
+        server.with("server.memory-kb", 1000).with("server.kb-per-fingerprint", 500);
+        Operation first = server.take(Server.CHARGE);
+        assertEquals(List.of(first), server.settle().started);
+        Operation second = server.take(Server.CHARGE);
+        server.settle();
+        assertTrue(server.pushedBack(second), "no room to remember a second one");
+    }
+
+    @Example
+    void aRunNeedsItsMemoryBeforeItStarts() {
+        server.with("server.memory-kb", 1200);
+        Operation first = server.take(Server.ORDER, 0, 200, null);
+        server.take(Server.ORDER, 0, 200, null);
+        assertEquals(List.of(first), server.settle().started);
+    }
+
+    @Example
+    void operationsAtCallsNeverOutnumberTheSurvivableCrowd() {
+        server.with("server.cold", true).with("rules.cold-share", 0.2).with("rules.cold", 18000);
+        int started = 0;
+        for (int i = 0; i < 40; i++) {
+            Operation op = server.take(Server.CALLING);
+            started += server.settle().started.size();
+            op.reachedCall(server.now);
+            server.settle();
+            server.control().look(server.now, new double[] {0, 0});
+        }
+        assertEquals(10, started, "8 cores x (1 + 3 x 0.2) x 0.75, rounded up: cold");
+    }
+
+    @Example
+    void aHangIsToldAndAllThatWaitsIsSentAway() {
+        server.full();
+        server.after(900);
+        Operation waiting = server.take(Server.CHARGE);
+        assertFalse(server.settle().log.stream().anyMatch(l -> l.startsWith("hangs")));
+        Settled hung = server.after(150);
+        assertTrue(hung.log.stream().anyMatch(l -> l.startsWith("hangs")));
+        assertEquals(Boolean.FALSE, hung.healthy);
+        assertTrue(server.pushedBack(waiting));
+        assertEquals(Server.millis(1000), hung.pushedBack.get(0).stayAway());
+    }
+
+    @Example
+    void readsShareAFreshAnswerAndAStaleOneIsReadAnew() {
+        server.with("server.fresh-for", 1000);
+        Operation first = server.take(Server.LOOKUP);
+        server.settle();
+        Operation second = server.take(Server.LOOKUP, 0, 10, first);
+        assertEquals(List.of(second), server.settle().shared);
+        first.ended(server.now, Ending.ERROR);
+        Operation third = server.take(Server.LOOKUP, 0, 10, first);
+        server.settle();
+        assertTrue(server.last.shared.contains(third) || server.last.started.contains(third));
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -0,0 +1,102 @@
+package merlinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** The mechanism of the design page, with figures worked by hand. */
+class MechanismTest {
+
+    private final Server server = new Server();
+
+    /** Fills the hold behind full cores and returns how many of the arrivals of a tariff were refused. */
+    private double refused(int tariff, int waiting, int arrivals) {
+        int count = 0;
+        for (int i = 0; i < arrivals; i++) {
+            Server one = new Server();
+            one.seed = i;
+            one.warmedUp(10, 200).full();
+            for (int held = 0; held < waiting; held++) {
+                one.take(Server.ORDER);
+            }
+            Operation arrival = one.take(tariff);
+            one.settle();
+            count += one.pushedBack(arrival) ? 1 : 0;
+        }
+        return count / (double) arrivals;
+    }
+
+    @Example
+    void belowTheLowerThresholdNothingIsRefused() {
+        assertEquals(0, refused(Server.LOOKUP, 10, 200));
+    }
+
+    @Example
+    void theLeastValuedIsRefusedFirst() {
+        // Capacity 40 (8 cores, 200 ms a run, 1 s): 20 waiting give q = 0.5, avg 0.48, p_b = 0.14 and a count over 7.
+        double lookups = refused(Server.LOOKUP, 20, 400);
+        double charges = refused(Server.CHARGE, 20, 400);
+        assertTrue(lookups > 0.2, "coefficient 5: " + lookups);
+        assertTrue(charges < 0.1, "coefficient 0.1: " + charges);
+    }
+
+    @Example
+    void startsGoOldestFirstBelowTheMark() {
+        List<Operation> running = server.full();
+        Operation first = server.take(Server.LOOKUP);
+        Operation second = server.take(Server.CHARGE);
+        assertEquals(List.of(), server.settle().started, "the gauge reads 8, the mark is 8 cores");
+        running.get(0).ended(server.now, Ending.OK);
+        assertEquals(List.of(first), server.settle().started, "one has ended since");
+        server.control().look(server.now, new double[] {1, 9});
+        running.get(1).ended(server.now, Ending.OK);
+        assertEquals(List.of(), server.settle().started, "9 less the one that ended is not below the mark");
+        server.control().look(server.now, new double[] {1, 7});
+        assertEquals(List.of(second), server.settle().started);
+    }
+
+    @Example
+    void aBacklogBeforeTheDoorCountsAsHeld() {
+        server.warmedUp(10, 200);
+        int refused = 0;
+        for (int i = 0; i < 30; i++) {
+            server.take(Server.LOOKUP, 850, 10, null);
+            refused += server.settle().pushedBack.size();
+        }
+        assertEquals(30, refused, "850 ms of a span of 1000 ms is over max_th");
+    }
+
+    @Example
+    void theLevelRisesWithPressureAndFallsAfterIt() {
+        server.with("server.say", "level").warmedUp(10, 200);
+        double high = 0;
+        for (int i = 0; i < 30; i++) {
+            server.take(Server.LOOKUP, 850, 10, null);
+            server.after(100);
+            high = Double.isNaN(server.last.level) ? high : server.last.level;
+        }
+        assertTrue(high >= 0.8, "level " + high);
+        for (int i = 0; i < 200; i++) {
+            server.after(100);
+            high = Double.isNaN(server.last.level) ? high : server.last.level;
+        }
+        assertEquals(0, high);
+    }
+
+    @Example
+    void sameSeedSameDecisions() {
+        Server one = new Server();
+        Server two = new Server();
+        for (Server each : List.of(one, two)) {
+            each.warmedUp(5, 200);
+            for (int i = 0; i < 60; i++) {
+                each.take(i % 4);
+            }
+            each.settle();
+        }
+        assertEquals(one.last.pushedBack.size(), two.last.pushedBack.size());
+        assertTrue(one.last.pushedBack.size() > 0);
+    }
+}
