--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -547,7 +547,7 @@
         }
         if (refuses(op)) {
             count = 0;
-            pushBack(op, now, false, longestStayAway());
+            pushBack(op, now, false, stayAway());
             return;
         }
         count++;
@@ -568,6 +568,14 @@
         return onCores >= cores && reached(now.plus(wait).plus(op.tariff.usualRun()), op.soft);
     }
 
+    /**
+     * How long a caller refused by chance should stay away: longer the fuller the hold. The longest advice on each
+     * refusal shut callers out of nearly every server at once while the servers had room.
+     */
+    private Duration stayAway() {
+        return millis(ms(longestStayAway()) * Math.min(1, (avg - MIN_TH) / (MAX_TH - MIN_TH)));
+    }
+
     private Duration longestStayAway() {
         return given.getOrDefault("limits.stay-away", "false").equals("true")
                 ? span("limits.longest-stay-away", 0) : Duration.ZERO;
