Cap the level at 0.6

Cause: above it callers hear nothing for longer than they keep the level in mind, then all come back at once.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -728,7 +728,7 @@
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
         level += pressure > MIN_TH ? 0.04 * Math.min(1, (pressure - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
-        level = Math.max(0, Math.min(0.9, level));
+        level = Math.max(0, Math.min(0.6, level));
         if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
             saidLevel = level;
             next.level = level;
