Judge by the cost hint whether an arrival can make its soft limit, under pressure

Guards against large operations that slow machines begin and never end in time; could harm where hints are wrong by tariff.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -82,6 +82,7 @@
         final double withoutCall;
         final boolean calls;
         final Histogram runs = new Histogram();
+        final Histogram perHint = new Histogram();
         double coefficient = 1;
 
         Tariff(int index) {
@@ -99,10 +100,6 @@
                 default -> Kind.BINDING;
             };
         }
-
-        Duration usualRun() {
-            return millis(runs.mean());
-        }
     }
 
     private final class Op implements Operation {
@@ -111,6 +108,7 @@
         final Duration due;
         final Duration soft;
         final double kb;
+        final double hintMs;
         final boolean sharable;
         Phase phase = Phase.HELD;
         boolean answered;
@@ -125,15 +123,22 @@
         Op original;
         final List<Op> followers = new ArrayList<>(0);
 
-        Op(Tariff tariff, Duration arrival, Duration due, double kb, boolean sharable) {
+        Op(Tariff tariff, Duration arrival, Duration due, double kb, double hintMs, boolean sharable) {
             this.tariff = tariff;
             this.arrival = arrival;
             this.due = due;
             this.kb = kb;
+            this.hintMs = hintMs;
             this.sharable = sharable;
             soft = earlier(arrival.plus(tariff.softLimit), due);
         }
 
+        /** Its likely run time; without a hint at most half the soft limit, or a slow machine would never learn better. */
+        Duration usualRun() {
+            return hintMs > 0 && tariff.perHint.total > 5 && avg >= MIN_TH ? millis(hintMs * tariff.perHint.mean() / 100)
+                    : earlier(millis(tariff.runs.mean()), tariff.softLimit.dividedBy(2));
+        }
+
         boolean inHand() {
             return phase != Phase.OVER;
         }
@@ -157,6 +162,9 @@
             if (finished && phase == Phase.RUNNING) {
                 completions[slot]++;
                 tariff.runs.add(ms(now.minus(startedAt)));
+                if (hintMs > 0) {
+                    tariff.perHint.add(100 * ms(now.minus(startedAt)) / hintMs);
+                }
             }
             if (how == Ending.OK && sharable && keptUntil != null) {
                 keep(this, now, fresh);
@@ -474,7 +482,7 @@
         Tariff t = tariffs.get(tariff);
         Duration arrival = now.minus(unread);
         Duration due = later(now, clientTimeout != null ? clientTimeout : arrival.plus(t.clientTimeout));
-        Op op = new Op(t, arrival, due, kb, sharable && t.kind == Kind.RETRIABLE && !fresh.isZero());
+        Op op = new Op(t, arrival, due, kb, work == null ? 0 : ms(work), sharable && t.kind == Kind.RETRIABLE && !fresh.isZero());
         if (hand.isEmpty()) {
             progress = now;
         }
@@ -527,7 +535,7 @@
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
         if (leaveAt != null && (reached(op.arrival, leaveAt.plus(span("rules.drain-grace", 0)))
-                || reached(now.plus(t.usualRun()).plus(LOOK), stopAt))) {
+                || reached(now.plus(op.usualRun()).plus(LOOK), stopAt))) {
             pushBack(op, now, false, longestStayAway());
             return;
         }
@@ -565,7 +573,7 @@
     }
 
     private boolean hopeless(Op op, Duration now, Duration wait) {
-        return onCores >= cores && reached(now.plus(wait).plus(op.tariff.usualRun()), op.soft);
+        return onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft);
     }
 
     /**
@@ -662,7 +670,7 @@
                 halt(op);
             }
         } else if (waits && !op.ran) {
-            if (hung || reached(now.plus(op.tariff.usualRun()), op.soft)) {
+            if (hung || reached(now.plus(op.usualRun()), op.soft)) {
                 pushBack(op, now, !hung, hung ? longestStayAway() : Duration.ZERO);
             }
         } else if (op.phase != Phase.SHARING && reached(now, op.soft) && op.tariff.lateValue == 0 && held > 0 && mayHalt) {
