--- a/src/test/java/merlinlever/Server.java
+++ b/src/test/java/merlinlever/Server.java
@@ -99,6 +99,10 @@
         return last.pushedBack.stream().anyMatch(p -> p.operation() == operation);
     }
 
+    static double ms(Duration span) {
+        return span.toNanos() / 1e6;
+    }
+
     static Duration millis(double ms) {
         return Duration.ofNanos((long) (ms * 1e6));
     }
