--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -113,7 +113,7 @@
         Phase phase = Phase.HELD;
         boolean answered;
         boolean ran;
-        boolean finished;
+        Ending end;
         boolean halting;
         Duration startedAt;
         Duration over;
@@ -158,8 +158,8 @@
                 return;
             }
             progress = now;
-            finished = how == Ending.OK || how == Ending.ERROR;
-            if (finished && phase == Phase.RUNNING) {
+            end = how;
+            if ((how == Ending.OK || how == Ending.ERROR) && phase == Phase.RUNNING) {
                 completions[slot]++;
                 tariff.runs.add(ms(now.minus(startedAt)));
                 if (hintMs > 0) {
@@ -242,7 +242,7 @@
     private final double[] completions = new double[SLOTS];
     private final double[] busy = new double[SLOTS];
     private double runQueue;
-    private int startsSince;
+    private int changeSince;
     private Duration progress = Duration.ZERO;
     private Duration leaveAt;
     private Duration stopAt;
@@ -361,7 +361,7 @@
     private void move(Op op, Phase to) {
         tally(op, -1);
         // The gauge counts what has left the cores since it was read, and not what has come back from a call.
-        startsSince += (to == Phase.RUNNING ? 1 : 0) - (op.phase == Phase.RUNNING ? 1 : 0);
+        changeSince += (to == Phase.RUNNING ? 1 : 0) - (op.phase == Phase.RUNNING ? 1 : 0);
         op.phase = to;
         tally(op, 1);
     }
@@ -386,9 +386,15 @@
         op.over = now;
         past.add(op);
         promote(op, now);
+        if (!op.ran || op.sharable && op.end != Ending.OK) {
+            forget(op);
+        }
     }
 
-    /** The operation ended unrun: the first of those that wait for its outcome takes its place. */
+    /**
+     * The operation has been started, and those that wait for its outcome share it; or it ended unrun, and the first
+     * of them takes its place and its entry in the table.
+     */
     private void promote(Op op, Duration now) {
         Op heir = null;
         for (Op follower : op.followers) {
@@ -401,7 +407,13 @@
                 heir = follower;
                 heir.original = null;
                 move(heir, Phase.HELD);
-                keepFor(heir, now);
+                strike(op);
+                if (roomFor(heir)) {
+                    keepFor(heir, now);
+                } else {
+                    pushBack(heir, now, false, Duration.ZERO);
+                    heir = null;
+                }
             } else {
                 follower.original = heir;
                 heir.followers.add(follower);
@@ -433,22 +445,33 @@
         }
     }
 
+    private boolean strike(Op op) {
+        if (op.keptUntil == null) {
+            return false;
+        }
+        op.keptUntil = null;
+        usedKb -= fingerprintKb;
+        return table.remove(op);
+    }
+
     private void forget(Op op) {
-        if (op.keptUntil != null) {
-            op.keptUntil = null;
-            usedKb -= fingerprintKb;
-            table.remove(op);
+        if (strike(op)) {
             next.forgotten.add(op);
         }
     }
 
+    /** Rule 4: whether there is memory for the operation and for what has to be remembered of it. */
+    private boolean roomFor(Op op) {
+        boolean remembered = op.tariff.kind == Kind.FINGERPRINTED || op.sharable;
+        return usedKb + (remembered ? fingerprintKb : 0) <= MEMORY * memoryKb;
+    }
+
     private void pushBack(Op op, Duration now, boolean nowhereElse, Duration stayAway) {
         if (op.answered || op.ran) {
             return;
         }
         op.answered = true;
         next.pushedBack.add(new Settled.Pushback(op, nowhereElse, stayAway));
-        forget(op);
         finish(op, now);
     }
 
@@ -508,13 +531,18 @@
             return op.answered;
         }
         if (original.phase == Phase.HELD && !original.ran) {
+            if (usedKb > MEMORY * memoryKb) {
+                pushBack(op, now, false, Duration.ZERO);
+                return true;
+            }
             op.original = original;
             original.followers.add(op);
             move(op, Phase.FOLLOWING);
             return true;
         }
-        boolean usable = original.inHand() ? !original.halting : original.finished;
-        if (usable) {
+        boolean usable = original.inHand() ? !original.halting : original.end == Ending.OK
+                || original.end == Ending.ERROR && op.tariff.kind != Kind.RETRIABLE;
+        if (usable && usedKb <= MEMORY * memoryKb) {
             share(op, original);
         } else if (op.tariff.kind != Kind.RETRIABLE && original.ran) {
             breakOff(op, now);
@@ -539,8 +567,7 @@
             pushBack(op, now, false, longestStayAway());
             return;
         }
-        // Rule 4: the memory for the fingerprint and one run is there, or it is not taken.
-        if (usedKb + (t.kind == Kind.FINGERPRINTED || op.sharable ? fingerprintKb : 0) > MEMORY * memoryKb) {
+        if (!roomFor(op)) {
             pushBack(op, now, false, Duration.ZERO);
             return;
         }
@@ -603,7 +630,7 @@
         clock(now);
         if (runQueueAt >= 0 && runQueueAt < gauges.length) {
             runQueue = gauges[runQueueAt];
-            startsSince = 0;
+            changeSince = 0;
         }
     }
 
@@ -617,6 +644,7 @@
             sweep(hand.get(i), now);
         }
         hand.removeIf(op -> !op.inHand());
+        next.shared.removeIf(op -> ((Op) op).phase != Phase.SHARING);
         expire(now);
         for (Op op : hand) {
             if (op.phase == Phase.AT_CALL && !op.answered && reached(now, op.callAfter) && calling < CALLS * cores) {
@@ -708,7 +736,7 @@
             if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE) {
                 continue;
             }
-            if (onCores >= 1 && runQueue + startsSince >= cores || onCores + atCalls + calling >= most || hung) {
+            if (onCores >= 1 && runQueue + changeSince >= cores || onCores + atCalls + calling >= most || hung) {
                 return;
             }
             if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
--- a/src/main/java/merlinlever/wire/Instance.java
+++ b/src/main/java/merlinlever/wire/Instance.java
@@ -164,10 +164,6 @@
         }
     }
 
-    void fault(String text, StringBuilder out) {
-        action(out, "die").append(" line=").append(text.replace('\n', ' ')).append('\n');
-    }
-
     private StringBuilder action(StringBuilder out, String word) {
         return out.append(word).append(" who=").append(name);
     }
--- a/src/main/java/merlinlever/wire/WireHost.java
+++ b/src/main/java/merlinlever/wire/WireHost.java
@@ -69,7 +69,7 @@
         }
         told.forEach((name, instance) -> {
             if (instances.get(name) == instance) {
-                guarded(instance, reply, () -> instance.settle(now, reply));
+                guarded(name, reply, () -> instance.settle(now, reply));
             }
         });
         reply.append("ready n=").append(number).append('\n');
@@ -79,8 +79,10 @@
         Line line = new Line(text, lines);
         String who = line.needed("who");
         if (line.word().equals("enlist")) {
-            instances.put(who, new Instance(line, now));
-            told.put(who, instances.get(who));
+            guarded(who, reply, () -> {
+                instances.put(who, new Instance(line, now));
+                told.put(who, instances.get(who));
+            });
             return;
         }
         Instance instance = instances.get(who);
@@ -92,17 +94,18 @@
             return;
         }
         told.put(who, instance);
-        guarded(instance, reply, () -> instance.tell(line, now));
+        guarded(who, reply, () -> instance.tell(line, now));
     }
 
     /** A failure inside the decisions is said on the wire; one of the input ends the host. */
-    private static void guarded(Instance instance, StringBuilder reply, Runnable part) {
+    private static void guarded(String who, StringBuilder reply, Runnable part) {
         try {
             part.run();
         } catch (Line.Malformed e) {
             throw e;
         } catch (RuntimeException e) {
-            instance.fault(e + " at " + e.getStackTrace()[0], reply);
+            String text = e + " at " + e.getStackTrace()[0];
+            reply.append("die who=").append(who).append(" line=").append(text.replace('\n', ' ')).append('\n');
         }
     }
 }
