Let the cap on calls follow their failures; repeat only calls that never got through

Guards against any tier below that fails, by overload or not; could harm where single calls fail for reasons of their own, as the cap then stays low.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -118,8 +118,7 @@
         Duration startedAt;
         Duration over;
         Duration keptUntil;
-        Duration callAfter = Duration.ZERO;
-        int callTries;
+        boolean calledAgain;
         Op original;
         final List<Op> followers = new ArrayList<>(0);
 
@@ -185,18 +184,18 @@
             if (phase != Phase.CALLING) {
                 return;
             }
+            callCap = how == Ending.OK ? Math.min(CALLS * cores, callCap + 1 / callCap) : Math.max(1, callCap * 0.8);
             if (how == Ending.OK) {
                 move(this, Phase.RUNNING);
                 return;
             }
+            // Rule 2: a call that may have had its effect is not made again. Nor is one that was turned away: the edge
+            // node between has tried elsewhere, and a crowded tier is not helped by more calls.
             move(this, Phase.AT_CALL);
-            callTries++;
-            // Rule 2: a call that may have had its effect is not made again for an operation with an effect.
-            if (!how.provesUnrun() && tariff.kind != Kind.RETRIABLE || callTries >= 3) {
+            if (how != Ending.UNREACHABLE || calledAgain) {
                 breakOff(this, now);
-            } else {
-                callAfter = now.plus(millis(50.0 * callTries));
             }
+            calledAgain = true;
         }
 
         @Override public void callerGone(Duration now) {
@@ -231,6 +230,7 @@
     private int onCores;
     private int atCalls;
     private int calling;
+    private double callCap;
     private double usedKb;
     private double avg;
     private double quickestRead = 1e9;
@@ -258,6 +258,7 @@
         this.given = given;
         chance = new SplittableRandom(seed);
         cores = (int) Math.max(1, number("server.cores", 1));
+        callCap = CALLS * cores;
         memoryKb = number("server.memory-kb", 1e9);
         runFactor = number("server.run-factor", 4);
         fingerprintKb = number("server.kb-per-fingerprint", 0);
@@ -647,7 +648,7 @@
         next.shared.removeIf(op -> ((Op) op).phase != Phase.SHARING);
         expire(now);
         for (Op op : hand) {
-            if (op.phase == Phase.AT_CALL && !op.answered && reached(now, op.callAfter) && calling < CALLS * cores) {
+            if (op.phase == Phase.AT_CALL && !op.answered && calling < callCap) {
                 move(op, Phase.CALLING);
                 next.called.add(new Settled.Timed(op, later(Duration.ofMillis(1), op.due.minus(now))));
             }
@@ -742,7 +743,7 @@
             if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
                 return;
             }
-            if (op.tariff.calls && atCalls + calling >= CALLS * cores) {
+            if (op.tariff.calls && atCalls + calling >= callCap) {
                 continue;
             }
             if (onCores == 0) {
