--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -35,9 +35,10 @@
     // While something is in hand the module looks this often.
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration IDLE_LOOK = Duration.ofMillis(500);
-    // No run has got on for so long, at least, and for so many usual runs: the work hangs.
+    // No run has got on for so long, at least, and for so many usual runs, and more where few run: the work hangs.
     private static final Duration HANG = Duration.ofMillis(1000);
-    private static final double HANG_RUNS = 4;
+    private static final double HANG_RUNS = 2;
+    private static final double HANG_RUNS_ALONE = 6;
     // Part of the difference by which the quickest reading seen is forgotten with each arrival.
     private static final double FORGET = 0.002;
     private static final int SLOTS = 8;
@@ -348,13 +349,17 @@
         return Math.max(cores, worked < 0.1 * all ? 0 : done * all / worked);
     }
 
-    private double survivable() {
-        double share = 1;
-        if (given.getOrDefault("server.cold", "false").equals("true")) {
-            double from = number("rules.cold-share", 0.2);
-            share = Math.min(1, from + (1 - from) * ms(clock) / Math.max(1, number("rules.cold", 1)));
+    /** The part of its full speed that the server has at the least. */
+    private double speedShare() {
+        if (!given.getOrDefault("server.cold", "false").equals("true")) {
+            return 1;
         }
-        return Math.max(cores, CROWD * cores * (1 + (number("rules.crowd-factor", 2) - 1) * share));
+        double from = number("rules.cold-share", 0.2);
+        return Math.min(1, from + (1 - from) * ms(clock) / Math.max(1, number("rules.cold", 1)));
+    }
+
+    private double survivable() {
+        return Math.max(cores, CROWD * cores * (1 + (number("rules.crowd-factor", 2) - 1) * speedShare()));
     }
 
     // ---- changes of phase
@@ -670,8 +675,11 @@
 
     /** Changes of mode: whether the work hangs. */
     private void watch(Duration now) {
-        double usual = tariffs.stream().mapToDouble(t -> t.runs.mean()).max().orElse(0);
-        boolean stuck = onCores > 0 && reached(now, progress.plus(later(HANG, millis(HANG_RUNS * usual))));
+        // One long run is no hang: the fewer there are, the longer they may be silent; cold cores are as slow as told.
+        double usual = tariffs.stream().mapToDouble(t -> t.runs.mean()).max().orElse(0)
+                * (HANG_RUNS + HANG_RUNS_ALONE / Math.max(1, onCores));
+        Duration patience = later(millis(ms(HANG) / speedShare()), millis(usual));
+        boolean stuck = onCores > 0 && reached(now, progress.plus(patience));
         if (stuck != hung) {
             hung = stuck;
             next.log.add(String.format(Locale.ROOT, "%s: run=%d held=%d silent=%.0f ms", hung ? "hangs" : "works again",
