Weigh marked further tries four times and ask them to try nowhere else

Guards against any storm of repeats; could harm single unlucky operations where the fleet has room and marks are set on first tries.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -27,6 +27,8 @@
     // Coefficients of the least and the most valued tariff.
     private static final double C_LEAST = 5.0;
     private static final double C_MOST = 0.1;
+    // A marked further try has less of its soft limit left than it says, and came because others were full as well.
+    private static final double AGAIN = 4;
     // Part of the survivable crowd and of the memory that is used.
     private static final double CROWD = 0.75;
     private static final double MEMORY = 0.92;
@@ -111,6 +113,7 @@
         final double kb;
         final double hintMs;
         final boolean sharable;
+        final boolean again;
         Phase phase = Phase.HELD;
         boolean answered;
         boolean ran;
@@ -123,13 +126,15 @@
         Op original;
         final List<Op> followers = new ArrayList<>(0);
 
-        Op(Tariff tariff, Duration arrival, Duration due, double kb, double hintMs, boolean sharable) {
+        Op(Tariff tariff, Duration arrival, Duration due, double kb, double hintMs, boolean sharable,
+                boolean again) {
             this.tariff = tariff;
             this.arrival = arrival;
             this.due = due;
             this.kb = kb;
             this.hintMs = hintMs;
             this.sharable = sharable;
+            this.again = again;
             soft = earlier(arrival.plus(tariff.softLimit), due);
         }
 
@@ -511,7 +516,8 @@
         Tariff t = tariffs.get(tariff);
         Duration arrival = now.minus(unread);
         Duration due = later(now, clientTimeout != null ? clientTimeout : arrival.plus(t.clientTimeout));
-        Op op = new Op(t, arrival, due, kb, work == null ? 0 : ms(work), sharable && t.kind == Kind.RETRIABLE && !fresh.isZero());
+        Op op = new Op(t, arrival, due, kb, work == null ? 0 : ms(work),
+                sharable && t.kind == Kind.RETRIABLE && !fresh.isZero(), again);
         if (hand.isEmpty()) {
             progress = now;
         }
@@ -583,12 +589,12 @@
         }
         // Work that cannot make its soft limit is waste.
         if (hopeless(op, now, millis(held / capacity() * ms(span)))) {
-            pushBack(op, now, false, longestStayAway());
+            pushBack(op, now, op.again, longestStayAway());
             return;
         }
         if (refuses(op)) {
             count = 0;
-            pushBack(op, now, false, stayAway());
+            pushBack(op, now, op.again, stayAway());
             return;
         }
         count++;
@@ -601,7 +607,7 @@
             return false;
         }
         double pb = (avg - MIN_TH) / (MAX_TH - MIN_TH) * MAX_P;
-        double pa = avg > MAX_TH || count * pb >= 1 ? 1 : op.tariff.coefficient * pb / (1 - count * pb);
+        double pa = avg > MAX_TH || count * pb >= 1 ? 1 : op.tariff.coefficient * (op.again ? AGAIN : 1) * pb / (1 - count * pb);
         return chance.nextDouble() < pa;
     }
 
--- a/src/test/java/merlinlever/MechanismTest.java
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -12,7 +12,7 @@
     private final Server server = new Server();
 
     /** Fills the hold behind full cores and returns how many of the arrivals of a tariff were refused. */
-    private double refused(int tariff, int waiting, int arrivals) {
+    private double refused(int tariff, boolean again, int waiting, int arrivals) {
         int count = 0;
         for (int i = 0; i < arrivals; i++) {
             Server one = new Server();
@@ -21,25 +21,32 @@
             for (int held = 0; held < waiting; held++) {
                 one.take(Server.ORDER);
             }
-            Operation arrival = one.take(tariff);
+            Operation arrival = again ? one.again(tariff) : one.take(tariff);
             one.settle();
-            count += one.pushedBack(arrival) ? 1 : 0;
+            for (Settled.Pushback pushback : one.last.pushedBack) {
+                if (pushback.operation() == arrival) {
+                    count++;
+                    assertEquals(again, pushback.nowhereElse());
+                }
+            }
         }
         return count / (double) arrivals;
     }
 
     @Example
     void belowTheLowerThresholdNothingIsRefused() {
-        assertEquals(0, refused(Server.LOOKUP, 10, 200));
+        assertEquals(0, refused(Server.LOOKUP, false, 10, 200));
     }
 
     @Example
     void theLeastValuedIsRefusedFirst() {
         // Capacity 40 (8 cores, 200 ms a run, 1 s): 20 waiting give q = 0.5, avg 0.48, p_b = 0.14 and a count over 7.
-        double lookups = refused(Server.LOOKUP, 20, 400);
-        double charges = refused(Server.CHARGE, 20, 400);
+        double lookups = refused(Server.LOOKUP, false, 20, 400);
+        double charges = refused(Server.CHARGE, false, 20, 400);
         assertTrue(lookups > 0.2, "coefficient 5: " + lookups);
         assertTrue(charges < 0.1, "coefficient 0.1: " + charges);
+        double chargesAgain = refused(Server.CHARGE, true, 20, 400);
+        assertTrue(chargesAgain > 1.5 * charges, "four times as often as a further try: " + chargesAgain);
     }
 
     @Example
--- a/src/test/java/merlinlever/Server.java
+++ b/src/test/java/merlinlever/Server.java
@@ -59,6 +59,11 @@
                 repeats);
     }
 
+    /** A marked further try of which nothing is known here. */
+    Operation again(int tariff) {
+        return control().take(now, tariff, millis(0), null, 10, null, -1, 0, true, Double.NaN, true, null);
+    }
+
     Settled settle() {
         last = control().settle(now);
         return last;
