--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -11,11 +11,11 @@
 /**
  * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why).
  *
- * <p>How it is called: the adapter makes one for each life of a server and hands over what is stated at start. Each
- * operation read goes to {@link #take}, which returns its handle; all that happens to it later is a call on that handle
- * ({@link Operation}). {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
- * {@link #settle} returns what was decided ({@link Settled}) and when the module wants to look again. Times are spans
- * since the start. Nothing is shared between instances.
+ * <p>How it is called: the adapter makes one for each life of a server, handing over what is stated at start.
+ * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); all that happens to
+ * it later is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each
+ * batch {@link #settle} returns what was decided ({@link Settled}) and when to look again. Times are spans since
+ * the start. Nothing is shared between instances.
  */
 public final class Control {
 
@@ -27,29 +27,35 @@
     // Coefficients of the least and the most valued tariff.
     private static final double C_LEAST = 5.0;
     private static final double C_MOST = 0.1;
-    // A marked further try has less of its soft limit left than it says, and came because others were full as well.
+    // A marked further try has less of its soft limit left than it says, and others were full as well.
     private static final double AGAIN = 4;
+    // Above this callers hear too little to go on knowing the level, and come back all at once.
+    private static final double MOST_LEVEL = 0.6;
     // Part of the survivable crowd and of the memory that is used.
     private static final double CROWD = 0.75;
     private static final double MEMORY = 0.92;
     // Calls in hand a core.
     private static final double CALLS = 4;
+    // What is left of the cap on calls after one that did not work.
+    private static final double CALL_CUT = 0.8;
     // While something is in hand the module looks this often.
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration IDLE_LOOK = Duration.ofMillis(500);
-    // No run has got on for so long, at least, and for so many usual runs, and more where few run: the work hangs.
+    // No run has got on for so long and for so many usual runs, more where few run: the work hangs.
     private static final Duration HANG = Duration.ofMillis(1000);
     private static final double HANG_RUNS = 2;
     private static final double HANG_RUNS_ALONE = 6;
     // Part of the difference by which the quickest reading seen is forgotten with each arrival.
     private static final double FORGET = 0.002;
+    // No repeat is read later than this after it came; until then its original is known.
+    private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
     private static final int SLOTS = 8;
 
     private enum Kind { RETRIABLE, FINGERPRINTED, BINDING }
 
     private enum Phase { HELD, FOLLOWING, RUNNING, AT_CALL, CALLING, SHARING, OVER }
 
-    /** Run times in coarse bins, each half as wide again as the last, halved now and then so that old ones fade. */
+    /** Run times in coarse bins, each half as wide again as the last, halved now and then. */
     private static final class Histogram {
         private final double[] bins = new double[32];
         private double total;
@@ -80,6 +86,7 @@
         final Duration softLimit;
         final Duration clientTimeout;
         final Duration window;
+        final double stretch;
         final double value;
         final double lateValue;
         final double withoutCall;
@@ -93,6 +100,7 @@
             softLimit = span(at + "soft-limit", 1000);
             clientTimeout = span(at + "client-timeout", 2000);
             window = span(at + "window", 10000);
+            stretch = number(at + "soft-limit-stretch", 0);
             value = number(at + "value", 1);
             lateValue = number(at + "late-value", 0);
             withoutCall = Double.parseDouble(nth("server.value-without-call", index, "0"));
@@ -135,13 +143,17 @@
             this.hintMs = hintMs;
             this.sharable = sharable;
             this.again = again;
-            soft = earlier(arrival.plus(tariff.softLimit), due);
+            soft = earlier(arrival.plus(tariff.softLimit).plus(millis(tariff.stretch * hintMs)), due);
         }
 
-        /** Its likely run time; without a hint at most half the soft limit, or a slow machine would never learn better. */
+        /**
+         * Its likely run time: by the hint under pressure only, or large ones were refused where is room;
+         * else at most half the soft limit, or a machine that was slow would never learn better.
+         */
         Duration usualRun() {
-            return hintMs > 0 && tariff.perHint.total > 5 && avg >= MIN_TH ? millis(hintMs * tariff.perHint.mean() / 100)
-                    : earlier(millis(tariff.runs.mean()), tariff.softLimit.dividedBy(2));
+            boolean hinted = hintMs > 0 && tariff.perHint.total > 5 && avg >= MIN_TH;
+            return hinted ? millis(hintMs * tariff.perHint.mean() / 100) : earlier(
+                    millis(tariff.runs.mean()), tariff.softLimit.dividedBy(2));
         }
 
         boolean inHand() {
@@ -190,18 +202,23 @@
             if (phase != Phase.CALLING) {
                 return;
             }
-            callCap = how == Ending.OK ? Math.min(CALLS * cores, callCap + 1 / callCap) : Math.max(1, callCap * 0.8);
+            callCap = how == Ending.OK ? Math.min(mostCalls, callCap + 1 / callCap) 
+                    : Math.max(Math.min(1, mostCalls), callCap * CALL_CUT);
             if (how == Ending.OK) {
                 move(this, Phase.RUNNING);
                 return;
             }
-            // Rule 2: a call that may have had its effect is not made again. Nor is one that was turned away: the edge
-            // node between has tried elsewhere, and a crowded tier is not helped by more calls.
+            // Rule 2: a call that may have had its effect is not made again. Nor is one that was turned away:
+            // the edge node between has tried elsewhere, and a crowded tier is not helped by more calls.
             move(this, Phase.AT_CALL);
-            if (how != Ending.UNREACHABLE || calledAgain) {
+            if (how == Ending.UNREACHABLE && !calledAgain) {
+                calledAgain = true;
+            } else if (tariff.withoutCall > 0 && !answered) {
+                move(this, Phase.RUNNING);
+                next.omitted.add(this);
+            } else {
                 breakOff(this, now);
             }
-            calledAgain = true;
         }
 
         @Override public void callerGone(Duration now) {
@@ -236,7 +253,10 @@
     private int onCores;
     private int atCalls;
     private int calling;
+    private final double mostCalls;
+    private final double callsOverMs;
     private double callCap;
+    private double callLoad;
     private double usedKb;
     private double avg;
     private double quickestRead = 1e9;
@@ -253,8 +273,7 @@
     private Duration leaveAt;
     private Duration stopAt;
     private boolean hung;
-    private boolean saidHealthy = true;
-    private boolean opened;
+    private Boolean saidHealthy;
     private double level;
     private double saidLevel;
     private Duration levelAt = Duration.ZERO;
@@ -264,7 +283,11 @@
         this.given = given;
         chance = new SplittableRandom(seed);
         cores = (int) Math.max(1, number("server.cores", 1));
-        callCap = CALLS * cores;
+        // Rule 4: of what all share no more than this server's part; under one, a call now and then.
+        mostCalls = given.getOrDefault("server.below", "none").equals("shared")
+                ? Math.min(CALLS * cores, number("server.share-of-calls", 1)) : CALLS * cores;
+        callsOverMs = Math.max(1, number("server.calls-over", 5000));
+        callCap = mostCalls;
         memoryKb = number("server.memory-kb", 1e9);
         runFactor = number("server.run-factor", 4);
         fingerprintKb = number("server.kb-per-fingerprint", 0);
@@ -335,13 +358,14 @@
             busy[slot] = 0;
         }
         busy[slot] += ms(now.minus(clock)) * Math.min(onCores, cores);
+        double fade = Math.exp(-ms(now.minus(clock)) / callsOverMs);
+        callLoad = fade * callLoad + (1 - fade) * calling;
         clock = now;
     }
 
     /**
-     * The hold's capacity: completions over the last soft-limit span, as if the cores had been busy all through it,
-     * and never under the core count. Scaling by the busy part keeps a quiet server from taking its few arrivals for
-     * all that it can do.
+     * The hold's capacity: completions over the last soft-limit span, scaled to busy cores, or a quiet server
+     * would take its few arrivals for all that it can do; never under the core count.
      */
     private double capacity() {
         double done = 0;
@@ -363,6 +387,10 @@
         return Math.min(1, from + (1 - from) * ms(clock) / Math.max(1, number("rules.cold", 1)));
     }
 
+    private boolean mayCall() {
+        return calling + 1 <= callCap || calling == 0 && (mostCalls >= 1 || callLoad < 0.5 * mostCalls);
+    }
+
     private double survivable() {
         return Math.max(cores, CROWD * cores * (1 + (number("rules.crowd-factor", 2) - 1) * speedShare()));
     }
@@ -403,8 +431,8 @@
     }
 
     /**
-     * The operation has been started, and those that wait for its outcome share it; or it ended unrun, and the first
-     * of them takes its place and its entry in the table.
+     * The operation has been started, and those that wait for its outcome share it; or it ended unrun, and
+     * the first of them takes its place and its entry in the table.
      */
     private void promote(Op op, Duration now) {
         Op heir = null;
@@ -506,12 +534,11 @@
      * @param work the hint of its cost, or null
      * @param tenant whose it is, or -1
      * @param again whether it is marked as a further try
-     * @param standing its place by value, from 0 to 1, or NaN
      * @param sharable whether it is a read that names its subject
      * @param repeats the kept operation that it repeats, or null
      */
-    public Operation take(Duration now, int tariff, Duration unread, Duration clientTimeout, double kb, Duration work,
-            int tenant, int caller, boolean again, double standing, boolean sharable, Operation repeats) {
+    public Operation take(Duration now, int tariff, Duration unread, Duration clientTimeout, double kb,
+            Duration work, int tenant, boolean again, boolean sharable, Operation repeats) {
         clock(now);
         Tariff t = tariffs.get(tariff);
         Duration arrival = now.minus(unread);
@@ -565,8 +592,8 @@
     }
 
     private void arrive(Op op, Duration now) {
-        // What waits unread waits as well, only out of sight: its time, beyond what reading takes at its quickest,
-        // counts as that part of the span.
+        // What waits unread waits as well, only out of sight: its time, beyond what reading takes at its
+        // quickest, counts as that part of the span. Guards against any backlog before the door.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
         double q = held / capacity() + (unread - quickestRead) / ms(span);
@@ -574,8 +601,9 @@
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
-        if (leaveAt != null && (reached(op.arrival, leaveAt.plus(span("rules.drain-grace", 0)))
-                || reached(now.plus(op.usualRun()).plus(LOOK), stopAt))) {
+        boolean leaving = leaveAt != null && (reached(op.arrival, leaveAt.plus(span("rules.drain-grace", 0)))
+                || reached(now.plus(op.usualRun()).plus(LOOK), stopAt));
+        if (leaving || hung) {
             pushBack(op, now, false, longestStayAway());
             return;
         }
@@ -583,12 +611,9 @@
             pushBack(op, now, false, Duration.ZERO);
             return;
         }
-        if (hung) {
-            pushBack(op, now, false, longestStayAway());
-            return;
-        }
         // Work that cannot make its soft limit is waste.
-        if (hopeless(op, now, millis(held / capacity() * ms(span)))) {
+        Duration wait = millis(held / capacity() * ms(span));
+        if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
             pushBack(op, now, op.again, longestStayAway());
             return;
         }
@@ -607,17 +632,14 @@
             return false;
         }
         double pb = (avg - MIN_TH) / (MAX_TH - MIN_TH) * MAX_P;
-        double pa = avg > MAX_TH || count * pb >= 1 ? 1 : op.tariff.coefficient * (op.again ? AGAIN : 1) * pb / (1 - count * pb);
+        double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1);
+        double pa = avg > MAX_TH || count * pb >= 1 ? 1 : coefficient * pb / (1 - count * pb);
         return chance.nextDouble() < pa;
     }
 
-    private boolean hopeless(Op op, Duration now, Duration wait) {
-        return onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft);
-    }
-
     /**
-     * How long a caller refused by chance should stay away: longer the fuller the hold. The longest advice on each
-     * refusal shut callers out of nearly every server at once while the servers had room.
+     * How long a caller refused by chance should stay away: longer the fuller the hold. The longest advice on
+     * each refusal shut callers out of nearly every server at once while the servers had room.
      */
     private Duration stayAway() {
         return millis(ms(longestStayAway()) * Math.min(1, (avg - MIN_TH) / (MAX_TH - MIN_TH)));
@@ -633,8 +655,8 @@
         clock(now);
         leaveAt = now;
         stopAt = stop;
-        next.log.add(String.format(Locale.ROOT, "leaving: stop in %.0f ms, held=%d run=%d", ms(stop.minus(now)), held,
-                onCores + atCalls + calling));
+        next.log.add(String.format(Locale.ROOT, "leaving: stop in %.0f ms, held=%d run=%d",
+                ms(stop.minus(now)), held, onCores + atCalls + calling));
     }
 
     /** The gauges, in the order that was stated at start. */
@@ -659,17 +681,13 @@
         next.shared.removeIf(op -> ((Op) op).phase != Phase.SHARING);
         expire(now);
         for (Op op : hand) {
-            if (op.phase == Phase.AT_CALL && !op.answered && calling < callCap) {
+            if (op.phase == Phase.AT_CALL && !op.answered && mayCall()) {
                 move(op, Phase.CALLING);
                 next.called.add(new Settled.Timed(op, later(Duration.ofMillis(1), op.due.minus(now))));
             }
         }
         start(now);
         say(now);
-        if (!opened) {
-            opened = true;
-            next.healthy = true;
-        }
         Settled settled = next;
         next = new Settled();
         settled.nextLook = now.plus(hand.isEmpty() ? IDLE_LOOK : LOOK);
@@ -681,18 +699,18 @@
 
     /** Changes of mode: whether the work hangs. */
     private void watch(Duration now) {
-        // One long run is no hang: the fewer there are, the longer they may be silent; cold cores are as slow as told.
+        // One long run is no hang: the fewer run, the longer they may be silent; cold cores are slow as told.
         double usual = tariffs.stream().mapToDouble(t -> t.runs.mean()).max().orElse(0)
                 * (HANG_RUNS + HANG_RUNS_ALONE / Math.max(1, onCores));
         Duration patience = later(millis(ms(HANG) / speedShare()), millis(usual));
         boolean stuck = onCores > 0 && reached(now, progress.plus(patience));
         if (stuck != hung) {
             hung = stuck;
-            next.log.add(String.format(Locale.ROOT, "%s: run=%d held=%d silent=%.0f ms", hung ? "hangs" : "works again",
-                    onCores, held, ms(now.minus(progress))));
+            next.log.add(String.format(Locale.ROOT, "%s: run=%d held=%d silent=%.0f ms",
+                    hung ? "hangs" : "works again", onCores, held, ms(now.minus(progress))));
         }
         boolean healthy = !hung && leaveAt == null;
-        if (healthy != saidHealthy) {
+        if (saidHealthy == null || healthy != saidHealthy) {
             saidHealthy = healthy;
             next.healthy = healthy;
         }
@@ -716,7 +734,8 @@
             if (hung || reached(now.plus(op.usualRun()), op.soft)) {
                 pushBack(op, now, !hung, hung ? longestStayAway() : Duration.ZERO);
             }
-        } else if (op.phase != Phase.SHARING && reached(now, op.soft) && op.tariff.lateValue == 0 && held > 0 && mayHalt) {
+        } else if (mayHalt && held > 0 && op.phase != Phase.SHARING && reached(now, op.soft)
+                && op.tariff.lateValue == 0) {
             breakOff(op, now);
             halt(op);
         }
@@ -738,20 +757,21 @@
             }
             return out;
         });
-        while (!past.isEmpty()
-                && reached(now, past.peek().over.plus(past.peek().tariff.window).plus(Duration.ofSeconds(30)))) {
+        while (!past.isEmpty() && reached(now, past.peek().over.plus(past.peek().tariff.window)
+                .plus(LONGEST_UNREAD))) {
             next.released.add(past.poll());
         }
     }
 
-    /** Oldest first, by the run-queue gauge plus the starts since it, at least the core count, under the ceiling. */
+    /** Oldest first, by the run-queue gauge and what has changed since it, under the ceiling of the crowd. */
     private void start(Duration now) {
         double most = survivable();
         for (Op op : hand) {
             if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE) {
                 continue;
             }
-            if (onCores >= 1 && runQueue + changeSince >= cores || onCores + atCalls + calling >= most || hung) {
+            boolean marked = onCores >= 1 && runQueue + changeSince >= cores;
+            if (marked || onCores + atCalls + calling >= most || hung) {
                 return;
             }
             if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
@@ -773,16 +793,22 @@
 
     /** The free value sent back, where there is one. */
     private void say(Duration now) {
-        if (!given.getOrDefault("server.say", "none").equals("level") || !reached(now, levelAt)) {
+        String means = given.getOrDefault("server.say", "none");
+        if (means.equals("none") || !reached(now, levelAt)) {
             return;
         }
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
         level += pressure > MIN_TH ? 0.04 * Math.min(1, (pressure - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
-        level = Math.max(0, Math.min(0.6, level));
+        level = Math.max(0, Math.min(MOST_LEVEL, level));
         if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
             saidLevel = level;
-            next.level = level;
+            next.level = switch (means) {
+                case "level" -> level;
+                case "weight" -> 1 - level;
+                case "credit" -> 2 * (1 - level) * (cores + capacity()) / number("server.callers", 1);
+                default -> Double.NaN;
+            };
         }
     }
 }
--- a/src/main/java/merlinlever/wire/Instance.java
+++ b/src/main/java/merlinlever/wire/Instance.java
@@ -34,7 +34,6 @@
     private final Map<Operation, Long> ids = new IdentityHashMap<>();
     private final Map<String, Integer> tariffs;
     private final Map<String, Integer> tenants;
-    private final Map<Long, Integer> callers = new HashMap<>();
     private double alarmAt = Double.POSITIVE_INFINITY;
     private long alarms;
 
@@ -100,8 +99,7 @@
         Operation taken = control.take(now, tariff, span(line.number("unread-for", 0)),
                 leaves == 0 ? null : sinceStart(leaves), line.number("size-kb", 0), work == 0 ? null : span(work),
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1),
-                callers.computeIfAbsent(line.whole("origin-peer", 0), caller -> callers.size()),
-                line.flag("resent"), line.number("standing", Double.NaN),
+                line.flag("resent"),
                 line.text("name-key") != null && !line.flag("write"),
                 repeats == 0 ? null : byId.getOrDefault(repeats, UNKNOWN));
         byId.put(id, taken);
