--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -7,14 +7,16 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.DoubleStream;
+import java.util.stream.IntStream;
 
 /**
  * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why).
  *
  * <p>How it is called: the adapter makes one for each life of a server, handing over what is stated at start.
- * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); all that happens to
- * it later is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each
- * batch {@link #settle} returns what was decided ({@link Settled}) and when to look again. Times are spans since
+ * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); what happens later is
+ * a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
+ * {@link #settle} returns what was decided ({@link Settled}) and when to look again. Times are spans since
  * the start. Nothing is shared between instances.
  */
 public final class Control {
@@ -83,16 +85,10 @@
 
     private final class Tariff {
         final Kind kind;
-        final Duration softLimit;
-        final Duration clientTimeout;
-        final Duration window;
-        final double stretch;
-        final double value;
-        final double lateValue;
-        final double withoutCall;
+        final Duration softLimit, clientTimeout, window;
+        final double stretch, value, lateValue, withoutCall;
         final boolean calls;
-        final Histogram runs = new Histogram();
-        final Histogram perHint = new Histogram();
+        final Histogram runs = new Histogram(), perHint = new Histogram();
         double coefficient = 1;
 
         Tariff(int index) {
@@ -115,27 +111,19 @@
 
     private final class Op implements Operation {
         final Tariff tariff;
-        final Duration arrival;
-        final Duration due;
-        final Duration soft;
-        final double kb;
-        final double hintMs;
-        final boolean sharable;
-        final boolean again;
+        final Duration arrival, due, soft;
+        final double kb, hintMs;
+        final boolean sharable, again;
+        final int tenant;
         Phase phase = Phase.HELD;
-        boolean answered;
-        boolean ran;
+        boolean answered, ran, halting, calledAgain;
         Ending end;
-        boolean halting;
-        Duration startedAt;
-        Duration over;
-        Duration keptUntil;
-        boolean calledAgain;
+        Duration startedAt, over, keptUntil;
         Op original;
         final List<Op> followers = new ArrayList<>(0);
 
         Op(Tariff tariff, Duration arrival, Duration due, double kb, double hintMs, boolean sharable,
-                boolean again) {
+                boolean again, int tenant) {
             this.tariff = tariff;
             this.arrival = arrival;
             this.due = due;
@@ -143,6 +131,7 @@
             this.hintMs = hintMs;
             this.sharable = sharable;
             this.again = again;
+            this.tenant = tenant;
             soft = earlier(arrival.plus(tariff.softLimit).plus(millis(tariff.stretch * hintMs)), due);
         }
 
@@ -249,10 +238,7 @@
     private final List<Op> hand = new ArrayList<>();
     private final ArrayDeque<Op> past = new ArrayDeque<>();
     private final ArrayDeque<Op> table = new ArrayDeque<>();
-    private int held;
-    private int onCores;
-    private int atCalls;
-    private int calling;
+    private int held, onCores, atCalls, calling;
     private final double mostCalls;
     private final double callsOverMs;
     private double callCap;
@@ -267,6 +253,8 @@
     private int slot;
     private final double[] completions = new double[SLOTS];
     private final double[] busy = new double[SLOTS];
+    private final double[][] tenantTries;
+    private final double[] allowed;
     private double runQueue;
     private int changeSince;
     private Duration progress = Duration.ZERO;
@@ -274,8 +262,7 @@
     private Duration stopAt;
     private boolean hung;
     private Boolean saidHealthy;
-    private double level;
-    private double saidLevel;
+    private double level, saidLevel;
     private Duration levelAt = Duration.ZERO;
 
     /** A module for one life of a server: what is stated at start, by name, and the seed of its chance. */
@@ -299,6 +286,10 @@
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
         slotEnd = span.dividedBy(SLOTS);
+        allowed = IntStream.iterate(0, i -> given.containsKey("tenants." + i + ".name"), i -> i + 1)
+                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9) * ms(span) / 1000
+                        / Math.max(1, number("servers", 1))).toArray();
+        tenantTries = new double[allowed.length][SLOTS];
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
         double most = tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
         for (Tariff t : tariffs) {
@@ -356,6 +347,9 @@
             slot = (slot + 1) % SLOTS;
             completions[slot] = 0;
             busy[slot] = 0;
+            for (double[] tries : tenantTries) {
+                tries[slot] = 0;
+            }
         }
         busy[slot] += ms(now.minus(clock)) * Math.min(onCores, cores);
         double fade = Math.exp(-ms(now.minus(clock)) / callsOverMs);
@@ -544,7 +538,7 @@
         Duration arrival = now.minus(unread);
         Duration due = later(now, clientTimeout != null ? clientTimeout : arrival.plus(t.clientTimeout));
         Op op = new Op(t, arrival, due, kb, work == null ? 0 : ms(work),
-                sharable && t.kind == Kind.RETRIABLE && !fresh.isZero(), again);
+                sharable && t.kind == Kind.RETRIABLE && !fresh.isZero(), again, tenant);
         if (hand.isEmpty()) {
             progress = now;
         }
@@ -596,6 +590,9 @@
         // quickest, counts as that part of the span. Guards against any backlog before the door.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
+        if (op.tenant >= 0 && !op.again) {
+            tenantTries[op.tenant][slot]++;
+        }
         double q = held / capacity() + (unread - quickestRead) / ms(span);
         avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
@@ -626,13 +623,23 @@
         keepFor(op, now);
     }
 
+    /**
+     * What an operation of the tenant is worth against one within its share: of the first tries of the last
+     * span, those beyond this server's part of the allowance count as stated.
+     */
+    private double tenantWorth(int tenant) {
+        double came = tenant < 0 ? 0 : DoubleStream.of(tenantTries[tenant]).sum();
+        double within = came == 0 ? 1 : Math.min(1, allowed[tenant] / came);
+        return within + (1 - within) * number("value-over-share", 1);
+    }
+
     /** The class-weighted RED of the design page. */
     private boolean refuses(Op op) {
         if (avg < MIN_TH) {
             return false;
         }
         double pb = (avg - MIN_TH) / (MAX_TH - MIN_TH) * MAX_P;
-        double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1);
+        double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1) / tenantWorth(op.tenant);
         double pa = avg > MAX_TH || count * pb >= 1 ? 1 : coefficient * pb / (1 - count * pb);
         return chance.nextDouble() < pa;
     }
