Call one piece where checks stood twice; keep a histogram's mean instead of working it out at each look

Memory checks share fits(), the distance from min_th to max_th is excess(), a gone caller's run is halted by halt(), the waiting phases have one test. The mean of run times was computed anew for each held operation at each look, with 32 powers each; it now changes only when a run ends.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -60,7 +60,7 @@
     /** Run times in coarse bins, each half as wide again as the last, halved now and then. */
     private static final class Histogram {
         private final double[] bins = new double[32];
-        private double total;
+        private double total, mean;
 
         void add(double ms) {
             int bin = (int) (Math.log(Math.max(ms, 1)) / Math.log(1.5));
@@ -72,14 +72,11 @@
                     total += bins[i];
                 }
             }
-        }
-
-        double mean() {
             double sum = 0;
             for (int i = 0; i < bins.length; i++) {
                 sum += bins[i] * Math.pow(1.5, i + 0.5);
             }
-            return total < 1 ? 0 : sum / total;
+            mean = sum / total;
         }
     }
 
@@ -141,8 +138,13 @@
          */
         Duration usualRun() {
             boolean hinted = hintMs > 0 && tariff.perHint.total > 5 && avg >= MIN_TH;
-            return hinted ? millis(hintMs * tariff.perHint.mean() / 100) : earlier(
-                    millis(tariff.runs.mean()), tariff.softLimit.dividedBy(2));
+            return hinted ? millis(hintMs * tariff.perHint.mean / 100) : earlier(
+                    millis(tariff.runs.mean), tariff.softLimit.dividedBy(2));
+        }
+
+        /** Whether it waits in the hold, for its start or for another's outcome. */
+        boolean offCores() {
+            return phase == Phase.HELD || phase == Phase.FOLLOWING || phase == Phase.SHARING;
         }
 
         boolean inHand() {
@@ -191,7 +193,7 @@
             if (phase != Phase.CALLING) {
                 return;
             }
-            callCap = how == Ending.OK ? Math.min(mostCalls, callCap + 1 / callCap) 
+            callCap = how == Ending.OK ? Math.min(mostCalls, callCap + 1 / callCap)
                     : Math.max(Math.min(1, mostCalls), callCap * CALL_CUT);
             if (how == Ending.OK) {
                 move(this, Phase.RUNNING);
@@ -213,11 +215,10 @@
         @Override public void callerGone(Duration now) {
             clock(now);
             answered = true;
-            if (phase == Phase.HELD || phase == Phase.FOLLOWING || phase == Phase.SHARING) {
+            if (offCores()) {
                 finish(this, now);
-            } else if (phase == Phase.RUNNING && mayHalt && tariff.kind == Kind.RETRIABLE && !halting) {
-                halting = true;
-                next.halted.add(this);
+            } else if (tariff.kind == Kind.RETRIABLE) {
+                halt(this);
             }
         }
     }
@@ -226,9 +227,7 @@
     private final SplittableRandom chance;
     private final List<Tariff> tariffs = new ArrayList<>();
     private final int cores;
-    private final double memoryKb;
-    private final double runFactor;
-    private final double fingerprintKb;
+    private final double memoryKb, runFactor, fingerprintKb;
     private final Duration fresh;
     private final boolean mayHalt;
     private final Duration span;
@@ -239,10 +238,8 @@
     private final ArrayDeque<Op> past = new ArrayDeque<>();
     private final ArrayDeque<Op> table = new ArrayDeque<>();
     private int held, onCores, atCalls, calling;
-    private final double mostCalls;
-    private final double callsOverMs;
-    private double callCap;
-    private double callLoad;
+    private final double mostCalls, callsOverMs;
+    private double callCap, callLoad;
     private double usedKb;
     private double avg;
     private double quickestRead = 1e9;
@@ -258,8 +255,7 @@
     private double runQueue;
     private int changeSince;
     private Duration progress = Duration.ZERO;
-    private Duration leaveAt;
-    private Duration stopAt;
+    private Duration leaveAt, stopAt;
     private boolean hung;
     private Boolean saidHealthy;
     private double level, saidLevel;
@@ -496,7 +492,11 @@
     /** Rule 4: whether there is memory for the operation and for what has to be remembered of it. */
     private boolean roomFor(Op op) {
         boolean remembered = op.tariff.kind == Kind.FINGERPRINTED || op.sharable;
-        return usedKb + (remembered ? fingerprintKb : 0) <= MEMORY * memoryKb;
+        return fits(remembered ? fingerprintKb : 0);
+    }
+
+    private boolean fits(double moreKb) {
+        return usedKb + moreKb <= MEMORY * memoryKb;
     }
 
     private void pushBack(Op op, Duration now, boolean nowhereElse, Duration stayAway) {
@@ -514,7 +514,7 @@
         }
         op.answered = true;
         next.brokenOff.add(op);
-        if (op.phase == Phase.HELD || op.phase == Phase.FOLLOWING || op.phase == Phase.SHARING) {
+        if (op.offCores()) {
             finish(op, now);
         }
     }
@@ -564,7 +564,7 @@
             return op.answered;
         }
         if (original.phase == Phase.HELD && !original.ran) {
-            if (usedKb > MEMORY * memoryKb) {
+            if (!fits(0)) {
                 pushBack(op, now, false, Duration.ZERO);
                 return true;
             }
@@ -575,7 +575,7 @@
         }
         boolean usable = original.inHand() ? !original.halting : original.end == Ending.OK
                 || original.end == Ending.ERROR && op.tariff.kind != Kind.RETRIABLE;
-        if (usable && usedKb <= MEMORY * memoryKb) {
+        if (usable && fits(0)) {
             share(op, original);
         } else if (op.tariff.kind != Kind.RETRIABLE && original.ran) {
             breakOff(op, now);
@@ -593,7 +593,8 @@
         if (op.tenant >= 0 && !op.again) {
             tenantTries[op.tenant][slot]++;
         }
-        double q = held / capacity() + (unread - quickestRead) / ms(span);
+        double waiting = held / capacity();
+        double q = waiting + (unread - quickestRead) / ms(span);
         avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
@@ -609,7 +610,7 @@
             return;
         }
         // Work that cannot make its soft limit is waste.
-        Duration wait = millis(held / capacity() * ms(span));
+        Duration wait = millis(waiting * ms(span));
         if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
             pushBack(op, now, op.again, longestStayAway());
             return;
@@ -633,12 +634,17 @@
         return within + (1 - within) * number("value-over-share", 1);
     }
 
+    /** How far an occupancy is from min_th (0) to max_th (1). */
+    private static double excess(double occupancy) {
+        return (occupancy - MIN_TH) / (MAX_TH - MIN_TH);
+    }
+
     /** The class-weighted RED of the design page. */
     private boolean refuses(Op op) {
         if (avg < MIN_TH) {
             return false;
         }
-        double pb = (avg - MIN_TH) / (MAX_TH - MIN_TH) * MAX_P;
+        double pb = excess(avg) * MAX_P;
         double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1) / tenantWorth(op.tenant);
         double pa = avg > MAX_TH || count * pb >= 1 ? 1 : coefficient * pb / (1 - count * pb);
         return chance.nextDouble() < pa;
@@ -649,7 +655,7 @@
      * each refusal shut callers out of nearly every server at once while the servers had room.
      */
     private Duration stayAway() {
-        return millis(ms(longestStayAway()) * Math.min(1, (avg - MIN_TH) / (MAX_TH - MIN_TH)));
+        return millis(ms(longestStayAway()) * Math.min(1, excess(avg)));
     }
 
     private Duration longestStayAway() {
@@ -707,7 +713,7 @@
     /** Changes of mode: whether the work hangs. */
     private void watch(Duration now) {
         // One long run is no hang: the fewer run, the longer they may be silent; cold cores are slow as told.
-        double usual = tariffs.stream().mapToDouble(t -> t.runs.mean()).max().orElse(0)
+        double usual = tariffs.stream().mapToDouble(t -> t.runs.mean).max().orElse(0)
                 * (HANG_RUNS + HANG_RUNS_ALONE / Math.max(1, onCores));
         Duration patience = later(millis(ms(HANG) / speedShare()), millis(usual));
         boolean stuck = onCores > 0 && reached(now, progress.plus(patience));
@@ -781,7 +787,7 @@
             if (marked || onCores + atCalls + calling >= most || hung) {
                 return;
             }
-            if (usedKb + op.kb * (runFactor - 1) > MEMORY * memoryKb) {
+            if (!fits(op.kb * (runFactor - 1))) {
                 return;
             }
             if (op.tariff.calls && atCalls + calling >= callCap) {
@@ -806,7 +812,7 @@
         }
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
-        level += pressure > MIN_TH ? 0.04 * Math.min(1, (pressure - MIN_TH) / (MAX_TH - MIN_TH)) : -0.01;
+        level += pressure > MIN_TH ? 0.04 * Math.min(1, excess(pressure)) : -0.01;
         level = Math.max(0, Math.min(MOST_LEVEL, level));
         if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
             saidLevel = level;
--- a/src/main/java/merlinlever/wire/Vocabulary.java
+++ b/src/main/java/merlinlever/wire/Vocabulary.java
@@ -26,7 +26,6 @@
             Map.entry("invariants", "rules"),
             Map.entry("overload-factor", "crowd-factor"),
             Map.entry("overload-for", "crowd-span"),
-            Map.entry("cold", "cold"),
             Map.entry("bounds", "limits"),
             Map.entry("retry-after", "stay-away"),
             Map.entry("max-retry-after", "longest-stay-away"),
