Leave the arrival and what free cores take at once out of q

Cause: on two cores one held operation was over min_th, idle servers refused. Guards any server with few cores; could harm where cores look free and are taken by others.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -586,14 +586,15 @@
     }
 
     private void arrive(Op op, Duration now) {
-        // What waits unread waits as well, only out of sight: its time, beyond what reading takes at its
-        // quickest, counts as that part of the span. Guards against any backlog before the door.
+        // What waits unread waits as well: its time beyond the quickest reading counts as that part of the span.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
         if (op.tenant >= 0 && !op.again) {
             tenantTries[op.tenant][slot]++;
         }
-        double waiting = held / capacity();
+        // Neither the arrival itself nor what free cores take at once is waiting: on two cores either alone was
+        // over min_th, and an idle server refused its next arrival.
+        double waiting = Math.max(0, held - 1 - Math.max(0, cores - onCores)) / capacity();
         double q = waiting + (unread - quickestRead) / ms(span);
         avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
--- a/src/test/java/merlinlever/MechanismTest.java
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -50,6 +50,16 @@
         assertTrue(chargesAgain > 1.5 * charges, "four times as often as a further try: " + chargesAgain);
     }
 
+    @Example
+    void whatFreeCoresTakeAtOnceDoesNotCountAsWaiting() {
+        server.with("server.cores", 2);
+        for (int i = 0; i < 100; i++) {
+            Operation lookup = server.take(Server.LOOKUP);
+            assertEquals(List.of(lookup), server.settle().started, "two cores, one at a time: nothing waits");
+            lookup.ended(server.now, Ending.OK);
+        }
+    }
+
     @Example
     void startsGoOldestFirstBelowTheMark() {
         List<Operation> running = server.full();
