Close idle connections while nothing is refused; learn capacity from 16 to 32 completions

Cause: at full size idle connections of a thousand edge nodes fill each server's table. The table of kept operations is ordered by time, stated values are read once.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 
 /**
@@ -51,7 +53,11 @@
     private static final double FORGET = 0.002;
     // No repeat is read later than this after it came; until then its original is known.
     private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
-    private static final int SLOTS = 8;
+    // Completions that the capacity is learned from, at the most, before their weight is halved.
+    private static final double ENOUGH = 32;
+    // Nothing refused for so long: connections are closed when idle for this part of the stated time.
+    private static final Duration CALM = Duration.ofSeconds(2);
+    private static final int CLOSE_AFTER = 3;
 
     private enum Kind { RETRIABLE, FINGERPRINTED, BINDING }
 
@@ -63,23 +69,19 @@
         private double total, mean;
 
         void add(double ms) {
-            int bin = (int) (Math.log(Math.max(ms, 1)) / Math.log(1.5));
-            bins[Math.min(bin, bins.length - 1)]++;
+            bins[(int) Math.min(bins.length - 1, Math.log(Math.max(ms, 1)) / Math.log(1.5))]++;
             if (++total > 60) {
-                total = 0;
-                for (int i = 0; i < bins.length; i++) {
-                    bins[i] /= 2;
-                    total += bins[i];
-                }
-            }
-            double sum = 0;
-            for (int i = 0; i < bins.length; i++) {
-                sum += bins[i] * Math.pow(1.5, i + 0.5);
+                total /= 2;
+                Arrays.setAll(bins, i -> bins[i] / 2);
             }
-            mean = sum / total;
+            mean = IntStream.range(0, bins.length).mapToDouble(i -> bins[i] * Math.pow(1.5, i + 0.5)).sum() / total;
         }
     }
 
+    /** That an operation is in the table until then, unless its entry has been renewed or struck since. */
+    private record Entry(Op op, Duration until) {
+    }
+
     private final class Tariff {
         final Kind kind;
         final Duration softLimit, clientTimeout, window;
@@ -168,7 +170,10 @@
             progress = now;
             end = how;
             if ((how == Ending.OK || how == Ending.ERROR) && phase == Phase.RUNNING) {
-                completions[slot]++;
+                if (++done > ENOUGH) {
+                    done /= 2;
+                    worked /= 2;
+                }
                 tariff.runs.add(ms(now.minus(startedAt)));
                 if (hintMs > 0) {
                     tariff.perHint.add(100 * ms(now.minus(startedAt)) / hintMs);
@@ -232,11 +237,14 @@
     private final boolean mayHalt;
     private final Duration span;
     private final int runQueueAt;
+    private final Duration grace, longestStayAway, closeIdle;
+    private final double valueOverShare, coldShare, coldMs;
+    private final String says;
 
     private Settled next = new Settled();
     private final List<Op> hand = new ArrayList<>();
     private final ArrayDeque<Op> past = new ArrayDeque<>();
-    private final ArrayDeque<Op> table = new ArrayDeque<>();
+    private final PriorityQueue<Entry> table = new PriorityQueue<>(Comparator.comparing(Entry::until));
     private int held, onCores, atCalls, calling;
     private final double mostCalls, callsOverMs;
     private double callCap, callLoad;
@@ -246,13 +254,11 @@
     private Duration avgAt = Duration.ZERO;
     private int count;
     private Duration clock = Duration.ZERO;
-    private Duration slotEnd;
-    private int slot;
-    private final double[] completions = new double[SLOTS];
-    private final double[] busy = new double[SLOTS];
-    private final double[][] tenantTries;
-    private final double[] allowed;
+    private double done, worked;
+    private final double[] tenantTries, allowed;
     private double runQueue;
+    private boolean closesIdle;
+    private Duration refusedAt = Duration.ZERO;
     private int changeSince;
     private Duration progress = Duration.ZERO;
     private Duration leaveAt, stopAt;
@@ -276,16 +282,23 @@
         fingerprintKb = number("server.kb-per-fingerprint", 0);
         fresh = span("server.fresh-for", 0);
         mayHalt = !given.getOrDefault("server.halt", "none").equals("none");
+        grace = span("rules.drain-grace", 0);
+        longestStayAway = Boolean.parseBoolean(given.get("limits.stay-away"))
+                ? span("limits.longest-stay-away", 0) : Duration.ZERO;
+        closeIdle = span("server.idle", 30_000).dividedBy(CLOSE_AFTER);
+        valueOverShare = number("value-over-share", 1);
+        coldShare = Boolean.parseBoolean(given.get("server.cold")) ? number("rules.cold-share", 0.2) : 1;
+        coldMs = Math.max(1, number("rules.cold", 1));
+        says = given.getOrDefault("server.say", "none");
         runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
         for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
             tariffs.add(new Tariff(i));
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
-        slotEnd = span.dividedBy(SLOTS);
         allowed = IntStream.iterate(0, i -> given.containsKey("tenants." + i + ".name"), i -> i + 1)
                 .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9) * ms(span) / 1000
                         / Math.max(1, number("servers", 1))).toArray();
-        tenantTries = new double[allowed.length][SLOTS];
+        tenantTries = new double[allowed.length];
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
         double most = tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
         for (Tariff t : tariffs) {
@@ -336,45 +349,28 @@
     // ---- what is measured
 
     private void clock(Duration now) {
-        while (reached(now, slotEnd)) {
-            busy[slot] += ms(slotEnd.minus(clock)) * Math.min(onCores, cores);
-            clock = slotEnd;
-            slotEnd = slotEnd.plus(span.dividedBy(SLOTS));
-            slot = (slot + 1) % SLOTS;
-            completions[slot] = 0;
-            busy[slot] = 0;
-            for (double[] tries : tenantTries) {
-                tries[slot] = 0;
-            }
+        double passed = ms(now.minus(clock));
+        if (passed > 0) {
+            worked += passed * Math.min(onCores, cores);
+            double fade = Math.exp(-passed / callsOverMs);
+            callLoad = fade * callLoad + (1 - fade) * calling;
+            Arrays.setAll(tenantTries, i -> tenantTries[i] * Math.exp(-passed / ms(span)));
+            clock = now;
         }
-        busy[slot] += ms(now.minus(clock)) * Math.min(onCores, cores);
-        double fade = Math.exp(-ms(now.minus(clock)) / callsOverMs);
-        callLoad = fade * callLoad + (1 - fade) * calling;
-        clock = now;
     }
 
     /**
-     * The hold's capacity: completions over the last soft-limit span, scaled to busy cores, or a quiet server
-     * would take its few arrivals for all that it can do; never under the core count.
+     * The hold's capacity: the last completions over the busy time that they took, for one soft-limit span of all
+     * cores, or a quiet server would take its few arrivals for all that it can do; never under the core count.
+     * They reach further back than a span where fewer than half of ENOUGH end in one, as on two cores.
      */
     private double capacity() {
-        double done = 0;
-        double worked = 0;
-        for (int i = 0; i < SLOTS; i++) {
-            done += completions[i];
-            worked += busy[i];
-        }
-        double all = cores * ms(span);
-        return Math.max(cores, worked < 0.1 * all ? 0 : done * all / worked);
+        return Math.max(cores, done < 1 ? 0 : done * cores * ms(span) / worked);
     }
 
     /** The part of its full speed that the server has at the least. */
     private double speedShare() {
-        if (!given.getOrDefault("server.cold", "false").equals("true")) {
-            return 1;
-        }
-        double from = number("rules.cold-share", 0.2);
-        return Math.min(1, from + (1 - from) * ms(clock) / Math.max(1, number("rules.cold", 1)));
+        return Math.min(1, coldShare + (1 - coldShare) * ms(clock) / coldMs);
     }
 
     private boolean mayCall() {
@@ -460,9 +456,9 @@
     private void keep(Op op, Duration now, Duration length) {
         if (op.keptUntil == null) {
             usedKb += fingerprintKb;
-            table.add(op);
         }
         op.keptUntil = now.plus(length);
+        table.add(new Entry(op, op.keptUntil));
         next.kept.add(new Settled.Timed(op, length));
     }
 
@@ -475,12 +471,10 @@
     }
 
     private boolean strike(Op op) {
-        if (op.keptUntil == null) {
-            return false;
-        }
+        boolean kept = op.keptUntil != null;
+        usedKb -= kept ? fingerprintKb : 0;
         op.keptUntil = null;
-        usedKb -= fingerprintKb;
-        return table.remove(op);
+        return kept;
     }
 
     private void forget(Op op) {
@@ -564,7 +558,8 @@
             return op.answered;
         }
         if (original.phase == Phase.HELD && !original.ran) {
-            if (!fits(0)) {
+            // Rule 3: nor may what came after the grace take the place of an original that ends unrun.
+            if (!fits(0) || pastGrace(op)) {
                 pushBack(op, now, false, Duration.ZERO);
                 return true;
             }
@@ -585,12 +580,16 @@
         return true;
     }
 
+    private boolean pastGrace(Op op) {
+        return leaveAt != null && reached(op.arrival, leaveAt.plus(grace));
+    }
+
     private void arrive(Op op, Duration now) {
         // What waits unread waits as well: its time beyond the quickest reading counts as that part of the span.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
         if (op.tenant >= 0 && !op.again) {
-            tenantTries[op.tenant][slot]++;
+            tenantTries[op.tenant]++;
         }
         // Neither the arrival itself nor what free cores take at once is waiting: on two cores either alone was
         // over min_th, and an idle server refused its next arrival.
@@ -600,10 +599,9 @@
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
-        boolean leaving = leaveAt != null && (reached(op.arrival, leaveAt.plus(span("rules.drain-grace", 0)))
-                || reached(now.plus(op.usualRun()).plus(LOOK), stopAt));
+        boolean leaving = pastGrace(op) || stopAt != null && reached(now.plus(op.usualRun()).plus(LOOK), stopAt);
         if (leaving || hung) {
-            pushBack(op, now, false, longestStayAway());
+            pushBack(op, now, false, longestStayAway);
             return;
         }
         if (!roomFor(op)) {
@@ -613,11 +611,12 @@
         // Work that cannot make its soft limit is waste.
         Duration wait = millis(waiting * ms(span));
         if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
-            pushBack(op, now, op.again, longestStayAway());
+            pushBack(op, now, op.again, longestStayAway);
             return;
         }
         if (refuses(op)) {
             count = 0;
+            refusedAt = now;
             pushBack(op, now, op.again, stayAway());
             return;
         }
@@ -630,9 +629,8 @@
      * span, those beyond this server's part of the allowance count as stated.
      */
     private double tenantWorth(int tenant) {
-        double came = tenant < 0 ? 0 : DoubleStream.of(tenantTries[tenant]).sum();
-        double within = came == 0 ? 1 : Math.min(1, allowed[tenant] / came);
-        return within + (1 - within) * number("value-over-share", 1);
+        double within = tenant < 0 ? 1 : Math.min(1, allowed[tenant] / tenantTries[tenant]);
+        return within + (1 - within) * valueOverShare;
     }
 
     /** How far an occupancy is from min_th (0) to max_th (1). */
@@ -656,12 +654,7 @@
      * each refusal shut callers out of nearly every server at once while the servers had room.
      */
     private Duration stayAway() {
-        return millis(ms(longestStayAway()) * Math.min(1, excess(avg)));
-    }
-
-    private Duration longestStayAway() {
-        return given.getOrDefault("limits.stay-away", "false").equals("true")
-                ? span("limits.longest-stay-away", 0) : Duration.ZERO;
+        return millis(ms(longestStayAway) * Math.min(1, excess(avg)));
     }
 
     /** The notice to leave: the process is stopped at that time. */
@@ -746,7 +739,7 @@
             }
         } else if (waits && !op.ran) {
             if (hung || reached(now.plus(op.usualRun()), op.soft)) {
-                pushBack(op, now, !hung, hung ? longestStayAway() : Duration.ZERO);
+                pushBack(op, now, !hung, hung ? longestStayAway : Duration.ZERO);
             }
         } else if (mayHalt && held > 0 && op.phase != Phase.SHARING && reached(now, op.soft)
                 && op.tariff.lateValue == 0) {
@@ -763,14 +756,12 @@
     }
 
     private void expire(Duration now) {
-        table.removeIf(op -> {
-            boolean out = reached(now, op.keptUntil);
-            if (out) {
-                op.keptUntil = null;
-                usedKb -= fingerprintKb;
+        while (!table.isEmpty() && reached(now, table.peek().until)) {
+            Entry entry = table.poll();
+            if (entry.until.equals(entry.op.keptUntil)) {
+                strike(entry.op);
             }
-            return out;
-        });
+        }
         while (!past.isEmpty() && reached(now, past.peek().over.plus(past.peek().tariff.window)
                 .plus(LONGEST_UNREAD))) {
             next.released.add(past.poll());
@@ -807,17 +798,27 @@
 
     /** The free value sent back, where there is one. */
     private void say(Duration now) {
-        String means = given.getOrDefault("server.say", "none");
-        if (means.equals("none") || !reached(now, levelAt)) {
+        if (!reached(now, levelAt)) {
             return;
         }
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
+        // Where callers are many, idle connections fill the server's table and new callers find no room: it closes
+        // them early while it refuses nothing. While it refuses it keeps them: a full table sends callers
+        // elsewhere before the connection and the reading have cost anything.
+        boolean calm = reached(now, refusedAt.plus(CALM));
+        if (calm != closesIdle) {
+            closesIdle = calm;
+            next.closeIdle = calm ? closeIdle : Duration.ZERO;
+        }
+        if (says.equals("none")) {
+            return;
+        }
         level += pressure > MIN_TH ? 0.04 * Math.min(1, excess(pressure)) : -0.01;
         level = Math.max(0, Math.min(MOST_LEVEL, level));
         if (Math.abs(level - saidLevel) >= 0.02 || level == 0 && saidLevel > 0) {
             saidLevel = level;
-            next.level = switch (means) {
+            next.level = switch (says) {
                 case "level" -> level;
                 case "weight" -> 1 - level;
                 case "credit" -> 2 * (1 - level) * (cores + capacity()) / number("server.callers", 1);
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -138,6 +138,20 @@
         assertTrue(before.brokenOff.contains(running));
     }
 
+    @Example
+    void aRepeatPastTheGraceTakesNoOnesPlace() {
+        server.full();
+        Operation first = server.take(Server.CHARGE);
+        server.control().leave(server.now, Server.millis(4000));
+        server.settle();
+        server.now = Server.millis(2010);
+        Operation late = server.take(Server.CHARGE, 0, 10, first);
+        first.callerGone(server.now);
+        server.control().look(server.now, new double[] {0, 0});
+        assertFalse(server.settle().started.contains(late));
+        assertTrue(server.pushedBack(late));
+    }
+
     @Example
     void memoryForTheFingerprintOrNothing() {
         server.with("server.memory-kb", 1000).with("server.kb-per-fingerprint", 500);
--- a/src/test/java/merlinlever/MechanismTest.java
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -103,6 +103,29 @@
         assertEquals(0, high);
     }
 
+    @Example
+    void idleConnectionsAreClosedWhileNothingIsRefusedAndKeptWhileSomethingIs() {
+        server.with("server.idle", 30000).warmedUp(10, 200);
+        assertEquals(Server.millis(10000), server.closeIdle, "a third of the stated time");
+        server.take(Server.LOOKUP, 850, 10, null);
+        server.take(Server.LOOKUP, 850, 10, null);
+        assertEquals(Duration.ZERO, server.after(100).closeIdle, "as stated: a full table costs refused callers least");
+        assertEquals(Server.millis(10000), server.after(2000).closeIdle);
+    }
+
+    @Example
+    void oneLongRunDoesNotUndoWhatTwoCoresHaveLearned() {
+        server.with("server.cores", 2).warmedUp(20, 100);
+        server.take(Server.ORDER);
+        server.take(Server.ORDER);
+        server.after(900);
+        server.take(Server.LOOKUP);
+        server.take(Server.LOOKUP);
+        server.settle();
+        assertTrue(server.last.started.isEmpty());
+        assertTrue(server.last.pushedBack.isEmpty(), "capacity 20, one waits: q under 0.3 after a span without an end");
+    }
+
     @Example
     void sameSeedSameDecisions() {
         Server one = new Server();
--- a/src/test/java/merlinlever/Server.java
+++ b/src/test/java/merlinlever/Server.java
@@ -22,6 +22,7 @@
     long seed = 7;
     Duration now = Duration.ZERO;
     Settled last = new Settled();
+    Duration closeIdle;
     private Control control;
 
     Server() {
@@ -65,6 +66,7 @@
 
     Settled settle() {
         last = control().settle(now);
+        closeIdle = last.closeIdle == null ? closeIdle : last.closeIdle;
         return last;
     }
 
