Ask refused callers to try nowhere else where reading is dear

Cause: at full size a refused operation walks through up to twelve servers, each reading it for a quarter of its work. Guards any deployment with dear readings; could harm where one slow server stands among idle ones.

--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -33,6 +33,8 @@
     private static final double C_MOST = 0.1;
     // A marked further try has less of its soft limit left than it says, and others were full as well.
     private static final double AGAIN = 4;
+    // Reading takes more than this part of an operation's work: each further try costs the others that.
+    private static final double DEAR = 0.1;
     // Above this callers hear too little to go on knowing the level, and come back all at once.
     private static final double MOST_LEVEL = 0.6;
     // Part of the survivable crowd and of the memory that is used.
@@ -608,16 +610,17 @@
             pushBack(op, now, false, Duration.ZERO);
             return;
         }
+        boolean dear = quickestRead > DEAR * cores * ms(span) / capacity();
         // Work that cannot make its soft limit is waste.
         Duration wait = millis(waiting * ms(span));
         if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
-            pushBack(op, now, op.again, longestStayAway);
+            pushBack(op, now, op.again || dear, longestStayAway);
             return;
         }
         if (refuses(op)) {
             count = 0;
             refusedAt = now;
-            pushBack(op, now, op.again, stayAway());
+            pushBack(op, now, op.again || dear, stayAway());
             return;
         }
         count++;
--- a/src/test/java/merlinlever/MechanismTest.java
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -86,6 +86,18 @@
         assertEquals(30, refused, "850 ms of a span of 1000 ms is over max_th");
     }
 
+    @Example
+    void whereReadingIsDearRefusedCallersAreAskedToTryNowhereElse() {
+        for (int reading : new int[] {50, 150}) {
+            Server one = new Server();
+            one.take(Server.LOOKUP, reading, 10, null);
+            one.settle();
+            one.take(Server.LOOKUP, reading + 900, 10, null);
+            one.settle();
+            assertEquals(reading == 150, one.last.pushedBack.get(0).nowhereElse(), "a tenth of 1000 ms is 100 ms");
+        }
+    }
+
     @Example
     void theLevelRisesWithPressureAndFallsAfterIt() {
         server.with("server.say", "level").warmedUp(10, 200);
