--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -563,11 +563,11 @@
             // Rule 3: nor may what came after the grace take the place of an original that ends unrun.
             if (!fits(0) || pastGrace(op)) {
                 pushBack(op, now, false, Duration.ZERO);
-                return true;
+            } else {
+                op.original = original;
+                original.followers.add(op);
+                move(op, Phase.FOLLOWING);
             }
-            op.original = original;
-            original.followers.add(op);
-            move(op, Phase.FOLLOWING);
             return true;
         }
         boolean usable = original.inHand() ? !original.halting : original.end == Ending.OK
@@ -602,12 +602,8 @@
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
         boolean leaving = pastGrace(op) || stopAt != null && reached(now.plus(op.usualRun()).plus(LOOK), stopAt);
-        if (leaving || hung) {
-            pushBack(op, now, false, longestStayAway);
-            return;
-        }
-        if (!roomFor(op)) {
-            pushBack(op, now, false, Duration.ZERO);
+        if (leaving || hung || !roomFor(op)) {
+            pushBack(op, now, false, leaving || hung ? longestStayAway : Duration.ZERO);
             return;
         }
         boolean dear = quickestRead > DEAR * cores * ms(span) / capacity();
@@ -615,16 +611,14 @@
         Duration wait = millis(waiting * ms(span));
         if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
             pushBack(op, now, op.again || dear, longestStayAway);
-            return;
-        }
-        if (refuses(op)) {
+        } else if (refuses(op)) {
             count = 0;
             refusedAt = now;
             pushBack(op, now, op.again || dear, stayAway());
-            return;
+        } else {
+            count++;
+            keepFor(op, now);
         }
-        count++;
-        keepFor(op, now);
     }
 
     /**
@@ -779,10 +773,8 @@
                 continue;
             }
             boolean marked = onCores >= 1 && runQueue + changeSince >= cores;
-            if (marked || onCores + atCalls + calling >= most || hung) {
-                return;
-            }
-            if (!fits(op.kb * (runFactor - 1))) {
+            boolean crowded = onCores + atCalls + calling >= most || !fits(op.kb * (runFactor - 1));
+            if (marked || crowded || hung) {
                 return;
             }
             if (op.tariff.calls && atCalls + calling >= callCap) {
