--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -57,9 +57,11 @@
     private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
     // Completions that the capacity is learned from, at the most, before their weight is halved.
     private static final double ENOUGH = 32;
-    // Nothing refused for so long: connections are closed when idle for this part of the stated time.
-    private static final Duration CALM = Duration.ofSeconds(2);
-    private static final int CLOSE_AFTER = 3;
+    // Callers a core from which on idle connections are closed early; what the time to close changes by ten times a
+    // second, with a core free and with none.
+    private static final double MANY = 16;
+    private static final double SOONER = 0.94;
+    private static final double LATER = 1.02;
 
     private enum Kind { RETRIABLE, FINGERPRINTED, BINDING }
 
@@ -239,8 +241,8 @@
     private final boolean mayHalt;
     private final Duration span;
     private final int runQueueAt;
-    private final Duration grace, longestStayAway, closeIdle;
-    private final double valueOverShare, coldShare, coldMs;
+    private final Duration grace, longestStayAway;
+    private final double valueOverShare, coldShare, coldMs, idleMs, callers;
     private final String says;
 
     private Settled next = new Settled();
@@ -259,8 +261,7 @@
     private double done, worked;
     private final double[] tenantTries, allowed;
     private double runQueue;
-    private boolean closesIdle;
-    private Duration refusedAt = Duration.ZERO;
+    private double closeIdleMs, saidIdleMs;
     private int changeSince;
     private Duration progress = Duration.ZERO;
     private Duration leaveAt, stopAt;
@@ -287,7 +288,9 @@
         grace = span("rules.drain-grace", 0);
         longestStayAway = Boolean.parseBoolean(given.get("limits.stay-away"))
                 ? span("limits.longest-stay-away", 0) : Duration.ZERO;
-        closeIdle = span("server.idle", 30_000).dividedBy(CLOSE_AFTER);
+        idleMs = number("server.idle", 30_000);
+        closeIdleMs = idleMs / 10;
+        callers = number("server.callers", 1);
         valueOverShare = number("value-over-share", 1);
         coldShare = Boolean.parseBoolean(given.get("server.cold")) ? number("rules.cold-share", 0.2) : 1;
         coldMs = Math.max(1, number("rules.cold", 1));
@@ -613,7 +616,6 @@
             pushBack(op, now, op.again || dear, longestStayAway);
         } else if (refuses(op)) {
             count = 0;
-            refusedAt = now;
             pushBack(op, now, op.again || dear, stayAway());
         } else {
             count++;
@@ -798,13 +800,16 @@
         }
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
-        // Where callers are many, idle connections fill the server's table and new callers find no room: it closes
-        // them early while it refuses nothing. While it refuses it keeps them: a full table sends callers
-        // elsewhere before the connection and the reading have cost anything.
-        boolean calm = reached(now, refusedAt.plus(CALM));
-        if (calm != closesIdle) {
-            closesIdle = calm;
-            next.closeIdle = calm ? closeIdle : Duration.ZERO;
+        // Where callers are many, idle connections fill the table, take capacity and leave no room for the next
+        // caller; each new one costs work, and a full table turns callers away at no cost. So they are closed
+        // the sooner the more often a core is free, and kept while the cores are full.
+        if (callers > MANY * cores) {
+            double wanted = closeIdleMs * (runQueue < cores ? SOONER : LATER);
+            closeIdleMs = Math.max(idleMs / 30, Math.min(idleMs, wanted));
+            if (Math.abs(closeIdleMs / saidIdleMs - 1) > 0.1) {
+                saidIdleMs = closeIdleMs;
+                next.closeIdle = millis(closeIdleMs);
+            }
         }
         if (says.equals("none")) {
             return;
@@ -816,7 +821,7 @@
             next.level = switch (says) {
                 case "level" -> level;
                 case "weight" -> 1 - level;
-                case "credit" -> 2 * (1 - level) * (cores + capacity()) / number("server.callers", 1);
+                case "credit" -> 2 * (1 - level) * (cores + capacity()) / callers;
                 default -> Double.NaN;
             };
         }
