--- /dev/null
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -0,0 +1,238 @@
+package merlinlever.agent;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Base64;
+import merlinlever.Ending;
+import merlinlever.core.Backend;
+import merlinlever.core.Work;
+import merlinlever.json.Json;
+import merlinlever.log.Log;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Loop;
+
+/** The link to the agent: made again when it is lost, with each notice taken once and in its order. */
+public final class AgentLink implements Connection.User {
+
+    private static final int LONGEST_LINE = 64 * 1024;
+    private static final int MOST_QUEUED = 8 * 1024 * 1024;
+    private static final int LONGEST_RESULT = 4096;
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(20);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(500);
+    private static final Duration CONNECT = Duration.ofSeconds(2);
+    private static final Duration EXERCISE = Duration.ofSeconds(1);
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Backend backend;
+    private final Log log;
+    private Connection connection;
+    private Duration pause = FIRST_PAUSE;
+    private boolean greeted, sampling;
+    private long lastRead, tokens;
+    private int seen;
+    private String exercise, caughtUp;
+    private Loop.Timer exerciseLimit;
+
+    public AgentLink(Loop loop, InetSocketAddress address, Backend backend, Log log) {
+        this.loop = loop;
+        this.address = address;
+        this.backend = backend;
+        this.log = log;
+    }
+
+    public void connect() {
+        greeted = false;
+        sampling = false;
+        seen = 0;
+        try {
+            connection = Connection.to(loop, address, this, LONGEST_LINE, MOST_QUEUED, CONNECT);
+        } catch (IOException e) {
+            log.error("no channel for the link to the agent", e);
+            again();
+        }
+    }
+
+    private void again() {
+        loop.in(pause, this::connect);
+        pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
+    }
+
+    @Override public void made() {
+        send("{\"cmd\":\"subscribe\",\"offset\":" + lastRead + "}\n");
+    }
+
+    @Override public void ended(Ended how) {
+        if (greeted) {
+            log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
+            greeted = false;
+            backend.linkLost(loop.clock().now());
+        }
+        exerciseOver();
+        again();
+    }
+
+    @Override public void read(ByteBuffer in) {
+        byte[] bytes = in.array();
+        int start = in.position();
+        for (int at = start + seen; at < in.limit() && connection.ended() == null; at++) {
+            if (bytes[at] == '\n') {
+                line(new String(bytes, start, at - start, StandardCharsets.UTF_8));
+                start = at + 1;
+                in.position(start);
+            }
+        }
+        seen = in.remaining();
+        if (seen >= LONGEST_LINE) {
+            log.warn("a line of the agent is too long");
+            connection.end(Ended.MALFORMED);
+        }
+    }
+
+    private void line(String line) {
+        if (line.isBlank()) {
+            return;
+        }
+        try {
+            notice(Notice.read(line));
+        } catch (Json.Malformed e) {
+            log.warn("passed over a line of the agent: " + e.getMessage());
+        }
+    }
+
+    private void notice(Notice notice) {
+        if (notice.offset() > 0) {
+            if (notice.offset() <= lastRead) {
+                return;
+            }
+            if (notice.offset() > lastRead + 1) {
+                log.warn("notices " + (lastRead + 1) + " to " + (notice.offset() - 1) + " were missed");
+                backend.noticesMissed(loop.clock().now());
+            }
+            lastRead = notice.offset();
+        }
+        switch (notice.word() == null ? "" : notice.word()) {
+            case "greeting" -> greeted(notice);
+            case "outcome" -> outcome(notice);
+            case "request" -> backend.needsCall(loop.clock().now(), notice.id(), notice.payload());
+            case "sampled" -> sampled(notice);
+            case "exercised" -> {
+                if (notice.token() != null && notice.token().equals(exercise)) {
+                    exerciseOver();
+                    backend.exercised(notice.ending() == Ending.OK);
+                }
+            }
+            case "refusal" -> {
+                log.warn("the agent would not " + notice.text() + " " + Long.toHexString(notice.id()));
+                if ("launch".equals(notice.text())) {
+                    backend.ended(loop.clock().now(), notice.id(), Ending.NEVER_BEGUN, null);
+                }
+            }
+            case "aside" -> {
+            }
+            default -> log.warn("unknown word of the agent: " + notice.word());
+        }
+    }
+
+    private void greeted(Notice notice) {
+        greeted = true;
+        pause = FIRST_PAUSE;
+        if (!backend.started()) {
+            loop.clock().startWas(Duration.ofNanos((long) (notice.elapsedMs() * 1e6)));
+            log.info("the agent is up: " + notice.text() + ", started " + notice.elapsedMs() + " ms ago");
+            backend.started(loop.clock().now(), "COLD".equals(notice.text()));
+            return;
+        }
+        log.info("link to the agent is back");
+        caughtUp = "up" + tokens++;
+        send("{\"cmd\":\"sample\",\"token\":\"" + caughtUp + "\"}\n");
+    }
+
+    private void outcome(Notice notice) {
+        Ending how = notice.ending();
+        if (how == null) {
+            log.warn("an outcome without a result");
+            how = Ending.ERROR;
+        }
+        if (how == Ending.OK && notice.payload().length > LONGEST_RESULT) {
+            log.warn("a result of " + notice.payload().length + " bytes is not passed on");
+            how = Ending.ERROR;
+        }
+        backend.ended(loop.clock().now(), notice.id(), how, notice.payload());
+    }
+
+    private void sampled(Notice notice) {
+        if (notice.token() != null && notice.token().equals(caughtUp)) {
+            caughtUp = null;
+            backend.linkBack(loop.clock().now());
+        } else {
+            sampling = false;
+        }
+        backend.gauges(loop.clock().now(), notice.row());
+    }
+
+    private void exerciseOver() {
+        exercise = null;
+        if (exerciseLimit != null) {
+            exerciseLimit.callOff();
+            exerciseLimit = null;
+        }
+    }
+
+    // ---- commands; without a link they are lost, and the backend sends again what matters
+
+    private void send(String line) {
+        connection.write(ByteBuffer.wrap(line.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void command(String word, Work work, String rest) {
+        if (greeted) {
+            send("{\"cmd\":\"" + word + "\",\"req\":\"" + work.name() + "\"" + rest + "}\n");
+        }
+    }
+
+    private static String payload(byte[] bytes) {
+        return ",\"payload\":\"" + Base64.getEncoder().encodeToString(bytes) + "\"";
+    }
+
+    public void launch(Work work) {
+        command("launch", work, ",\"method\":" + Json.quoted(work.tariffName()) + payload(work.body()));
+    }
+
+    public void freeze(Work work) {
+        command("freeze", work, "");
+    }
+
+    public void deliver(Work work, byte[] reply) {
+        command("deliver", work, payload(reply));
+    }
+
+    public void forgo(Work work) {
+        command("forgo", work, "");
+    }
+
+    /** One at a time. */
+    public void sample() {
+        if (greeted && !sampling) {
+            sampling = true;
+            send("{\"cmd\":\"sample\",\"token\":\"s" + tokens++ + "\"}\n");
+        }
+    }
+
+    public void exercise() {
+        if (!greeted) {
+            loop.execute(() -> backend.exercised(false));
+            return;
+        }
+        exercise = "x" + tokens++;
+        send("{\"cmd\":\"exercise\",\"token\":\"" + exercise + "\"}\n");
+        exerciseLimit = loop.in(EXERCISE, () -> {
+            exerciseOver();
+            backend.exercised(false);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/agent/Notice.java
@@ -0,0 +1,72 @@
+package merlinlever.agent;
+
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import merlinlever.Ending;
+import merlinlever.json.Json;
+
+/**
+ * One line of the agent.
+ *
+ * @param offset its number, or 0 where it has none
+ * @param id of the operation, or 0
+ * @param ending how the run ended, where that is what it says
+ * @param row the gauges, where it brings them
+ */
+record Notice(String word, long offset, long id, String text, Ending ending, double elapsedMs, byte[] payload,
+        String token, double[] row) {
+
+    /** The notice on the line. */
+    static Notice read(String line) throws Json.Malformed {
+        Map<?, ?> object = Json.object(line);
+        try {
+            String text = string(object, "result");
+            String id = string(object, "req");
+            String payload = string(object, "payload");
+            return new Notice(string(object, "cmd"), (long) number(object, "offset"),
+                    id == null ? 0 : Long.parseUnsignedLong(id, 16), text, ending(text), number(object, "elapsed_ms"),
+                    payload == null ? new byte[0] : Base64.getDecoder().decode(payload), string(object, "token"),
+                    row(object.get("load")));
+        } catch (IllegalArgumentException e) {
+            throw new Json.Malformed("not a notice: " + e.getMessage());
+        }
+    }
+
+    private static String string(Map<?, ?> object, String name) {
+        Object value = object.get(name);
+        if (value != null && !(value instanceof String)) {
+            throw new IllegalArgumentException(name + " is no string");
+        }
+        return (String) value;
+    }
+
+    private static double number(Map<?, ?> object, String name) {
+        Object value = object.get(name);
+        if (value != null && !(value instanceof Number)) {
+            throw new IllegalArgumentException(name + " is no number");
+        }
+        return value == null ? 0 : ((Number) value).doubleValue();
+    }
+
+    private static double[] row(Object value) {
+        if (!(value instanceof List<?> list)) {
+            return new double[0];
+        }
+        return list.stream().mapToDouble(item -> {
+            if (item instanceof Number number) {
+                return number.doubleValue();
+            }
+            throw new IllegalArgumentException("a gauge is no number");
+        }).toArray();
+    }
+
+    private static Ending ending(String text) {
+        return text == null ? null : switch (text) {
+            case "OK" -> Ending.OK;
+            case "STOPPED" -> Ending.STOPPED;
+            case "MOOT" -> Ending.NEVER_BEGUN;
+            default -> Ending.ERROR;
+        };
+    }
+}
--- a/src/main/java/merlinlever/cli/Main.java
+++ b/src/main/java/merlinlever/cli/Main.java
@@ -8,16 +8,20 @@
 
     private static final String USAGE = """
             usage: java -jar merlinlever.jar SUBCOMMAND
-              wirehost   host decision modules on the bench's wire (standard input and output)""";
+              wirehost   host decision modules on the bench's wire (standard input and output)
+              serve      serve as one real backend, told by the file that GW_CONFIG names""";
 
     private Main() {
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println(USAGE);
-            System.exit(2);
-        }
-        System.exit(new WireHost(System.in, System.out, System.err).serve());
+        System.exit(switch (args.length == 1 ? args[0] : "") {
+            case "wirehost" -> new WireHost(System.in, System.out, System.err).serve();
+            case "serve" -> Serve.main(System.getenv());
+            default -> {
+                System.err.println(USAGE);
+                yield 2;
+            }
+        });
     }
 }
--- /dev/null
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -0,0 +1,224 @@
+package merlinlever.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import merlinlever.agent.AgentLink;
+import merlinlever.core.Backend;
+import merlinlever.core.Outside;
+import merlinlever.core.Stated;
+import merlinlever.core.Work;
+import merlinlever.directory.Reports;
+import merlinlever.http.EdgeNodes;
+import merlinlever.json.Json;
+import merlinlever.log.Log;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import merlinlever.records.RecordsLink;
+
+/** One real backend: puts the parties round the core and runs until it is told to leave. */
+public final class Serve implements Outside {
+
+    private static final Duration REPORT = Duration.ofSeconds(1);
+    /** What is answered at the last moment has this long to leave before the stop. */
+    private static final Duration LAST_WRITES = Duration.ofMillis(150);
+    /** Descriptors that are not for edge nodes: the parties' links, files of the runtime. */
+    private static final int OTHER_DESCRIPTORS = 64;
+
+    /** What cannot be started with; its message is for the person at the console. */
+    public static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unusable(String message) {
+            super(message);
+        }
+    }
+
+    private final Log log;
+    private final Clock clock = Clock.system();
+    private final Loop loop;
+    private final Map<String, String> given;
+    private final Backend backend;
+    private final AgentLink agent;
+    private final RecordsLink records;
+    private final EdgeNodes edge;
+    private final Reports reports;
+    private final Duration stopAfter;
+    private final CountDownLatch over = new CountDownLatch(1);
+    private Loop.Timer alarm;
+    private boolean quiet;
+
+    public Serve(Map<?, ?> configuration, Log log) throws Unusable {
+        this.log = log;
+        Map<String, String> stated = configuration.get("settings") instanceof Map<?, ?> map ? Json.flat(map) : Map.of();
+        List<String> unknown = Stated.unknown(stated);
+        if (!unknown.isEmpty()) {
+            log.warn("settings that are not known: " + String.join(" ", unknown));
+        }
+        given = Stated.translate(stated);
+        Map<String, String> rest = Json.flat(configuration);
+        InetSocketAddress listen = address(rest, "listen");
+        stopAfter = Duration.ofMillis((long) number(rest, "stop_ms", 3000));
+        int sockets = (int) number(rest, "limits.sockets", 1024);
+        try {
+            loop = new Loop(clock, failure -> log.error("failed", failure));
+            backend = new Backend(given, seed(rest.get("seed")), this);
+            agent = new AgentLink(loop, address(rest, "agent"), backend, log);
+            records = rest.containsKey("records") ? new RecordsLink(loop, address(rest, "records"), backend, log) : null;
+            reports = new Reports(address(rest, "lookup"), rest.getOrDefault("name", ""));
+            loop.after(() -> backend.settle(clock.now()));
+            edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS));
+        } catch (IOException e) {
+            throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
+        }
+        agent.connect();
+        loop.every(REPORT, () -> {
+            if (!backend.leaving()) {
+                reports.report(!backend.started() || backend.healthy());
+            }
+        });
+    }
+
+    /** Reads the file that the environment names. */
+    static Map<?, ?> configuration(Map<String, String> environment) throws Unusable {
+        String file = environment.get("GW_CONFIG");
+        if (file == null) {
+            throw new Unusable("GW_CONFIG names no configuration");
+        }
+        try {
+            return Json.object(Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            throw new Unusable("cannot read " + file + ": " + e.getClass().getSimpleName());
+        } catch (Json.Malformed e) {
+            throw new Unusable(file + ": " + e.getMessage());
+        }
+    }
+
+    private static long seed(String hex) {
+        return hex != null && hex.matches("[0-9a-fA-F]{1,16}") ? Long.parseUnsignedLong(hex, 16) : 0;
+    }
+
+    private static double number(Map<String, String> rest, String name, double absent) throws Unusable {
+        try {
+            return Double.parseDouble(rest.getOrDefault(name, "" + absent));
+        } catch (NumberFormatException e) {
+            throw new Unusable("the configuration's " + name + " is no number");
+        }
+    }
+
+    private static InetSocketAddress address(Map<String, String> rest, String name) throws Unusable {
+        String text = rest.get(name);
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
+                || Integer.parseInt(text.substring(colon + 1)) > 65535) {
+            throw new Unusable("the configuration has no usable address under " + name);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    static int main(Map<String, String> environment) {
+        Log log = new Log(System.out, Instant::now);
+        try {
+            Serve serve = new Serve(configuration(environment), log);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> serve.leaveAndWait()));
+            log.info("listening on " + serve.edge.address());
+            serve.loop.run();
+            serve.over.countDown();
+            return 0;
+        } catch (Unusable | IOException e) {
+            System.err.println("merlinlever: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    /** On the thread that the signal has started. */
+    private void leaveAndWait() {
+        loop.execute(this::leave);
+        try {
+            over.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void leave() {
+        Duration stop = stopAfter.minus(LAST_WRITES);
+        Duration grace = Duration.ofMillis((long) Double.parseDouble(given.getOrDefault("rules.drain-grace", "0")));
+        backend.leave(clock.now(), clock.now().plus(stop));
+        // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
+        loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
+            edge.close();
+            loop.every(Duration.ofMillis(10), this::endWhenAnswered);
+        });
+    }
+
+    private void endWhenAnswered() {
+        if (backend.inHand() == 0 && edge.allWritten() && !quiet) {
+            quiet = true;
+            log.info("all is answered");
+            loop.stop();
+        }
+    }
+
+    // ---- what the core asks of the parties
+
+    @Override public void launch(Work work) {
+        agent.launch(work);
+    }
+
+    @Override public void freeze(Work work) {
+        agent.freeze(work);
+    }
+
+    @Override public void deliver(Work work, byte[] reply) {
+        agent.deliver(work, reply);
+    }
+
+    @Override public void forgo(Work work) {
+        agent.forgo(work);
+    }
+
+    @Override public void sample() {
+        agent.sample();
+    }
+
+    @Override public void exercise() {
+        agent.exercise();
+    }
+
+    @Override public void call(Work work, Duration giveUpAfter) {
+        if (records == null) {
+            loop.execute(() -> backend.callEnded(clock.now(), Long.parseUnsignedLong(work.name(), 16),
+                    merlinlever.Ending.UNREACHABLE, null));
+        } else {
+            records.call(work, giveUpAfter);
+        }
+    }
+
+    @Override public void giveUp(Work work) {
+        if (records != null) {
+            records.giveUp(work);
+        }
+    }
+
+    @Override public void closeIdle(Duration after) {
+        edge.closeIdle(after);
+    }
+
+    @Override public void alarm(Duration at) {
+        if (alarm != null) {
+            alarm.callOff();
+        }
+        alarm = loop.in(at.minus(clock.now()), () -> backend.alarmed(clock.now()));
+    }
+
+    @Override public void log(String line) {
+        log.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -0,0 +1,440 @@
+package merlinlever.core;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import merlinlever.Ending;
+import merlinlever.Operation;
+
+/**
+ * The real backend without its sockets: follows each operation from its reading to its one answer, through the agent
+ * that runs it and the calls that its run makes. It decides nothing; what is decided comes out of the module.
+ */
+public final class Backend implements Port<Work> {
+
+    /** What an edge node sends with an operation. */
+    public record Asked(long id, String name, String tariff, Duration arrival, Duration clientTimeout, double kb,
+            Duration work, String tenant, boolean again, String token, String subject, byte[] body) {
+    }
+
+    /** The most fingerprints, with bodies and results, that the memory of this process is planned for. */
+    private static final int MOST_KEPT = 4000;
+    /** A reply that left so shortly before its link was lost may not have got through. */
+    private static final Duration IN_TRANSIT = Duration.ofMillis(20);
+
+    private final Map<String, String> given;
+    private final long seed;
+    private final Outside outside;
+    private final Map<String, Integer> tariffs;
+    private final Map<Long, Work> byId = new LinkedHashMap<>();
+    private final Repeats repeats = new Repeats();
+    private final List<Runnable> afterwards = new ArrayList<>();
+    private final List<Consumer<Boolean>> checks = new ArrayList<>();
+    private final boolean subjects;
+    private Conductor<Work> conductor;
+    private Duration now = Duration.ZERO;
+    private Duration linkLostAt;
+    private boolean touched, healthy, leaving, exercising;
+    private double level = Double.NaN;
+    private int inHand;
+
+    public Backend(Map<String, String> given, long seed, Outside outside) {
+        this.given = new HashMap<>(given);
+        this.seed = seed;
+        this.outside = outside;
+        tariffs = Conductor.indices(given, "tariffs");
+        subjects = positive(given.get("server.fresh-for"));
+        // A limit of this process, in the terms that the module knows: it turns away what it cannot remember.
+        this.given.compute("server.kb-per-fingerprint", (name, stated) -> "" + Math.max(
+                stated == null ? 0 : Double.parseDouble(stated),
+                Double.parseDouble(given.getOrDefault("server.memory-kb", "100000")) / MOST_KEPT));
+    }
+
+    private static boolean positive(String number) {
+        return number != null && Double.parseDouble(number) > 0;
+    }
+
+    // ---- what others ask
+
+    public boolean knowsTariff(String name) {
+        return tariffs.containsKey(name);
+    }
+
+    /** The value to send with every answer, or NaN. */
+    public double level() {
+        return level;
+    }
+
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /** Operations that are read and not yet answered. */
+    public int inHand() {
+        return inHand;
+    }
+
+    /** Whether the agent is up and the module calls this server healthy. */
+    public boolean healthy() {
+        return conductor != null && healthy;
+    }
+
+    /** Hears whether work gets done: one exercise at a time serves all that ask meanwhile. */
+    public void checkDeeply(Consumer<Boolean> asker) {
+        if (!healthy()) {
+            asker.accept(false);
+            return;
+        }
+        checks.add(asker);
+        if (!exercising) {
+            exercising = true;
+            outside.exercise();
+        }
+    }
+
+    // ---- what happens
+
+    /** The agent is up; times count from its start. */
+    public void started(Duration now, boolean cold) {
+        this.now = now;
+        given.put("server.cold", "" + cold);
+        conductor = new Conductor<>(given, seed, this);
+        touched = true;
+    }
+
+    public boolean started() {
+        return conductor != null;
+    }
+
+    /** An operation has been read. Returns null where it was answered on the spot. */
+    public Work arrived(Duration now, Asked asked, Caller caller) {
+        if (conductor == null) {
+            caller.pushedBack(false, Duration.ZERO);
+            return null;
+        }
+        if (byId.containsKey(asked.id())) {
+            caller.brokenOff();
+            return null;
+        }
+        touch(now);
+        String mark = asked.token() != null ? "token " + asked.token()
+                : subjects && asked.subject() != null ? asked.tariff() + " " + asked.subject() : null;
+        int tariff = conductor.tariff(asked.tariff());
+        Work work = new Work(asked.id(), asked.name(), tariff, asked.tariff(), asked.arrival(), mark, asked.body(),
+                caller);
+        byId.put(work.id, work);
+        inHand++;
+        work.repeats = mark == null ? null : repeats.findOrEnter(work);
+        Duration unread = now.minus(asked.arrival());
+        // A mark that stands for another body is not known: the module breaks such an operation off.
+        Operation original = work.repeats == null ? null
+                : asked.token() == null || work.repeats.sameAs(work) ? work.repeats.handle : Conductor.UNKNOWN;
+        work.handle = conductor.know(conductor.control().take(now, tariff, unread.isNegative() ? Duration.ZERO : unread,
+                asked.clientTimeout(), asked.kb(), asked.work(), conductor.tenant(asked.tenant()), asked.again(),
+                asked.subject() != null, original), work);
+        return work;
+    }
+
+    public void callerGone(Duration now, Work work) {
+        if (work.answered) {
+            return;
+        }
+        touch(now);
+        over(work);
+        work.handle.callerGone(now);
+        giveUp(work);
+    }
+
+    /** A run has ended, with a result if it was satisfied. */
+    public void ended(Duration now, long id, Ending how, byte[] result) {
+        Work work = byId.get(id);
+        if (work == null || !work.launched || work.end != null) {
+            return;
+        }
+        touch(now);
+        if (how == Ending.STOPPED && work.halted && !work.answered) {
+            work.launched = false;
+            work.halted = false;
+            work.handle.ended(now, how);
+            return;
+        }
+        work.end = how;
+        work.result = how == Ending.OK ? result : null;
+        work.reply = null;
+        work.callBody = null;
+        giveUp(work);
+        answer(work, how, result);
+        work.handle.ended(now, how);
+        for (Work sharer : work.sharers) {
+            endAs(sharer, work);
+        }
+        work.sharers = List.of();
+        if (work.mark == null || repeats.holder(work.mark) != work) {
+            work.result = null;
+            work.body = null;
+        }
+    }
+
+    /** A run waits for a call. */
+    public void needsCall(Duration now, long id, byte[] body) {
+        Work work = byId.get(id);
+        if (work != null && work.launched && work.end == null) {
+            touch(now);
+            work.callBody = body;
+            work.reply = null;
+            work.handle.reachedCall(now);
+        }
+    }
+
+    public void callEnded(Duration now, long id, Ending how, byte[] reply) {
+        Work work = byId.get(id);
+        if (work == null || !work.calling) {
+            return;
+        }
+        touch(now);
+        work.calling = false;
+        if (how == Ending.OK) {
+            work.callBody = null;
+            work.reply = reply;
+            work.repliedAt = now;
+            outside.deliver(work, reply);
+        }
+        work.handle.callEnded(now, how, now.minus(work.calledAt));
+    }
+
+    public void gauges(Duration now, double[] gauges) {
+        if (conductor != null) {
+            touch(now);
+            conductor.control().look(now, gauges);
+        }
+    }
+
+    public void exercised(boolean good) {
+        exercising = false;
+        List<Consumer<Boolean>> askers = List.copyOf(checks);
+        checks.clear();
+        askers.forEach(asker -> asker.accept(good && healthy()));
+    }
+
+    public void alarmed(Duration now) {
+        touch(now);
+        conductor.alarmed();
+        outside.sample();
+    }
+
+    /** The notice to leave. */
+    public void leave(Duration now, Duration stop) {
+        leaving = true;
+        if (conductor != null) {
+            touch(now);
+            conductor.control().leave(now, stop);
+        }
+    }
+
+    /** The link to the agent is lost: runs go on, what was just sent may not have got there. */
+    public void linkLost(Duration now) {
+        if (linkLostAt == null) {
+            linkLostAt = now;
+        }
+        exercised(false);
+    }
+
+    /** All notices of the time without a link have been read: what may not have got there is sent again. */
+    public void linkBack(Duration now) {
+        if (linkLostAt == null) {
+            return;
+        }
+        Duration doubtful = linkLostAt.minus(IN_TRANSIT);
+        linkLostAt = null;
+        for (Work work : byId.values()) {
+            if (!work.launched || work.end != null) {
+                continue;
+            }
+            if (work.callBody == null && work.reply == null) {
+                outside.launch(work);
+            }
+            if (work.reply != null && work.repliedAt.compareTo(doubtful) >= 0) {
+                outside.deliver(work, work.reply);
+            }
+            if (work.halted) {
+                outside.freeze(work);
+            }
+        }
+    }
+
+    /** Notices were missed for good: how the runs of that time ended is not known, and they are not begun again. */
+    public void noticesMissed(Duration now) {
+        for (Work work : List.copyOf(byId.values())) {
+            if (work.launched && work.end == null) {
+                ended(now, work.id, Ending.ERROR, null);
+            }
+        }
+    }
+
+    /** After each batch: settles as often as something has happened since. */
+    public void settle(Duration now) {
+        while (touched && conductor != null) {
+            touched = false;
+            this.now = now;
+            conductor.settle(now);
+            List<Runnable> parts = List.copyOf(afterwards);
+            afterwards.clear();
+            parts.forEach(Runnable::run);
+            repeats.sweep(now);
+        }
+    }
+
+    private void touch(Duration now) {
+        this.now = now;
+        touched = true;
+    }
+
+    // ---- answers
+
+    private void over(Work work) {
+        work.answered = true;
+        work.caller = null;
+        inHand--;
+    }
+
+    private void answer(Work work, Ending how, byte[] result) {
+        if (work.answered) {
+            return;
+        }
+        Caller caller = work.caller;
+        over(work);
+        if (how == Ending.OK) {
+            caller.satisfied(result);
+        } else {
+            caller.brokenOff();
+        }
+    }
+
+    /** The operation ends as the one whose outcome it shares. */
+    private void endAs(Work sharer, Work original) {
+        if (sharer.end != null) {
+            return;
+        }
+        boolean good = original.end == Ending.OK && original.result != null;
+        sharer.end = good ? Ending.OK : Ending.ERROR;
+        sharer.body = null;
+        answer(sharer, sharer.end, original.result);
+        touched = true;
+        sharer.handle.ended(now, sharer.end);
+    }
+
+    private void giveUp(Work work) {
+        if (work.calling) {
+            work.calling = false;
+            outside.giveUp(work);
+        }
+    }
+
+    // ---- what the module decides
+
+    @Override public void level(double value) {
+        level = value;
+    }
+
+    @Override public void health(boolean good) {
+        healthy = good;
+    }
+
+    @Override public void closeIdle(Duration after) {
+        outside.closeIdle(after);
+    }
+
+    @Override public void keep(Work work, Duration span) {
+        if (work.mark != null) {
+            repeats.keep(work, now.plus(span));
+        }
+    }
+
+    @Override public void breakOff(Work work) {
+        answer(work, Ending.ERROR, null);
+        giveUp(work);
+        repeatsUnkept(work);
+    }
+
+    @Override public void halt(Work work) {
+        if (work.launched && work.end == null) {
+            work.halted = true;
+            outside.freeze(work);
+        }
+    }
+
+    @Override public void pushBack(Work work, boolean nowhereElse, Duration stayAway) {
+        if (!work.answered) {
+            Caller caller = work.caller;
+            over(work);
+            caller.pushedBack(nowhereElse, stayAway);
+        }
+        repeatsUnkept(work);
+    }
+
+    /** What never ran and was never kept is not to be found by a repeat. */
+    private void repeatsUnkept(Work work) {
+        if (!work.launched) {
+            repeats.forget(work);
+            work.body = null;
+        }
+    }
+
+    @Override public void forget(Work work) {
+        repeats.forget(work);
+    }
+
+    @Override public void start(Work work) {
+        work.launched = true;
+        outside.launch(work);
+    }
+
+    @Override public void share(Work work) {
+        Work original = work.repeats;
+        while (original != null && !original.launched && original.repeats != null) {
+            original = original.repeats;
+        }
+        if (original == null || !original.launched) {
+            // Its original ended unrun and another repeat has taken its place.
+            original = repeats.holder(work.mark);
+        }
+        if (original == null || original.end == null && !original.launched) {
+            afterwards.add(() -> endAs(work, work));
+        } else if (original.end != null) {
+            Work ended = original;
+            afterwards.add(() -> endAs(work, ended));
+        } else {
+            original.sharedBy(work);
+        }
+    }
+
+    @Override public void call(Work work, Duration giveUpAfter) {
+        if (work.callBody != null && work.end == null) {
+            work.calling = true;
+            work.calledAt = now;
+            outside.call(work, giveUpAfter);
+        }
+    }
+
+    @Override public void omit(Work work) {
+        work.callBody = null;
+        outside.forgo(work);
+    }
+
+    @Override public void log(String line) {
+        outside.log(line);
+    }
+
+    @Override public void alarm(Duration at) {
+        outside.alarm(at);
+    }
+
+    @Override public void release(Work work) {
+        byId.remove(work.id);
+        repeats.forget(work);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/core/Conductor.java
@@ -0,0 +1,110 @@
+package merlinlever.core;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import merlinlever.Control;
+import merlinlever.Operation;
+import merlinlever.Settled;
+
+/** Drives one decision module: knows its handles, sets its alarm and carries out what it settles. */
+public final class Conductor<T> {
+
+    /** Stands for an operation of which nothing is known any more; what happens to it has no effect. */
+    public static final Operation UNKNOWN = new Operation() {
+        @Override public void ended(Duration now, merlinlever.Ending how) {
+        }
+
+        @Override public void reachedCall(Duration now) {
+        }
+
+        @Override public void callEnded(Duration now, merlinlever.Ending how, Duration took) {
+        }
+
+        @Override public void callerGone(Duration now) {
+        }
+    };
+
+    private final Control control;
+    private final Port<T> port;
+    private final Map<String, Integer> tariffs;
+    private final Map<String, Integer> tenants;
+    private final Map<Operation, T> known = new IdentityHashMap<>();
+    private Duration alarm;
+
+    public Conductor(Map<String, String> given, long seed, Port<T> port) {
+        this.port = port;
+        tariffs = indices(given, "tariffs");
+        tenants = indices(given, "tenants");
+        control = new Control(given, seed);
+    }
+
+    static Map<String, Integer> indices(Map<String, String> given, String list) {
+        Map<String, Integer> indices = new HashMap<>();
+        for (int i = 0; given.containsKey(list + "." + i + ".name"); i++) {
+            indices.put(given.get(list + "." + i + ".name"), i);
+        }
+        return indices;
+    }
+
+    public Control control() {
+        return control;
+    }
+
+    /** The index of the tariff, or -1. */
+    public int tariff(String name) {
+        return tariffs.getOrDefault(name, -1);
+    }
+
+    /** The index of the tenant, or -1. */
+    public int tenant(String name) {
+        return name == null ? -1 : tenants.getOrDefault(name, -1);
+    }
+
+    /** From here on the port hears of the operation by this name. */
+    public Operation know(Operation taken, T as) {
+        known.put(taken, as);
+        return taken;
+    }
+
+    /** The last alarm that was set has gone off. */
+    public void alarmed() {
+        alarm = null;
+    }
+
+    public void settle(Duration now) {
+        Settled settled = control.settle(now);
+        if (!Double.isNaN(settled.level)) {
+            port.level(settled.level);
+        }
+        if (settled.healthy != null) {
+            port.health(settled.healthy);
+        }
+        if (settled.closeIdle != null) {
+            port.closeIdle(settled.closeIdle);
+        }
+        settled.kept.forEach(kept -> port.keep(known.get(kept.operation()), kept.span()));
+        each(settled.brokenOff, port::breakOff);
+        each(settled.halted, port::halt);
+        settled.pushedBack.forEach(p -> port.pushBack(known.get(p.operation()), p.nowhereElse(), p.stayAway()));
+        each(settled.forgotten, port::forget);
+        each(settled.started, port::start);
+        each(settled.shared, port::share);
+        settled.called.forEach(call -> port.call(known.get(call.operation()), call.span()));
+        each(settled.omitted, port::omit);
+        settled.log.forEach(port::log);
+        if (settled.nextLook != null && (alarm == null || settled.nextLook.compareTo(alarm) < 0)) {
+            alarm = settled.nextLook;
+            port.alarm(alarm);
+        }
+        settled.released.forEach(operation -> port.release(known.remove(operation)));
+    }
+
+    private void each(Iterable<Operation> operations, Consumer<T> part) {
+        for (Operation operation : operations) {
+            part.accept(known.get(operation));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/core/Outside.java
@@ -0,0 +1,38 @@
+package merlinlever.core;
+
+import java.time.Duration;
+
+/** What the real backend asks of the parties around it; each of these may be lost with a link. */
+public interface Outside {
+
+    /** Run it; for one that runs already nothing happens. */
+    void launch(Work work);
+
+    /** Stop its run. */
+    void freeze(Work work);
+
+    /** The reply to the call that its run waits for. */
+    void deliver(Work work, byte[] reply);
+
+    /** Its run goes on without the call. */
+    void forgo(Work work);
+
+    /** Ask for the gauges; {@link Backend#gauges} brings them. */
+    void sample();
+
+    /** Do the work of a deep health check; {@link Backend#exercised} says how that went. */
+    void exercise();
+
+    /** Make the call that its run waits for. */
+    void call(Work work, Duration giveUpAfter);
+
+    /** Give up the call. */
+    void giveUp(Work work);
+
+    void closeIdle(Duration after);
+
+    /** Call {@link Backend#alarmed} then. */
+    void alarm(Duration at);
+
+    void log(String line);
+}
--- a/src/main/java/merlinlever/wire/Vocabulary.java
+++ b/src/main/java/merlinlever/core/Stated.java
@@ -1,11 +1,13 @@
-package merlinlever.wire;
+package merlinlever.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import merlinlever.Ending;
+import java.util.Set;
 
-/** The wire's names for what is stated at start, and ours. */
-final class Vocabulary {
+/** What is stated at start, by path: the operators' names and ours. The one translation, for every adapter. */
+public final class Stated {
 
     private static final Map<String, String> NAMES = Map.ofEntries(
             Map.entry("services", "tariffs"),
@@ -42,23 +44,37 @@
             "mem_used", "memory",
             "sockets", "connections");
 
-    private static final Ending[] ENDINGS = {Ending.OK, Ending.ERROR, Ending.TURNED_AWAY, Ending.GIVEN_UP,
-        Ending.UNREACHABLE, Ending.CUT_OFF, Ending.STOPPED, Ending.NEVER_BEGUN};
+    /** Names that pass as they are; any other that is not translated is new to this program. */
+    private static final Set<String> SAME = Set.of(("name window late-value memory-kb run-factor callers cold halt "
+            + "idle say below calls-over gauges deep-checks heeded linger readiness fresh-for allowance-per-s share "
+            + "cold-share drain-grace answer-slack cpu-us-per-request cpu-us-per-s goal whole worst-class "
+            + "worst-tenant worst-window penalties connection handshake late-fail origin waste telemetry how names "
+            + "tenants servers service-type ordinal tick tier tiers zone zones clients marks-retry count")
+            .split(" "));
 
-    private Vocabulary() {
+    private Stated() {
     }
 
-    /** The pairs of a setup, in our words; a pair that is none is passed over. */
-    static Map<String, String> translate(String pairs) {
+    /** The values by our names. */
+    public static Map<String, String> translate(Map<String, String> theirs) {
         Map<String, String> given = new HashMap<>();
-        for (String pair : pairs.split(" ")) {
-            int equals = pair.indexOf('=');
-            if (equals > 0) {
-                given.put(words(pair.substring(0, equals), "\\.", ".", NAMES),
-                        words(pair.substring(equals + 1), ",", ",", VALUES));
+        theirs.forEach((path, value) ->
+                given.put(words(path, "\\.", ".", NAMES), words(value, ",", ",", VALUES)));
+        return given;
+    }
+
+    /** The paths with a part that is in no table here. */
+    public static List<String> unknown(Map<String, String> theirs) {
+        List<String> unknown = new ArrayList<>();
+        for (String path : theirs.keySet()) {
+            for (String part : path.split("\\.")) {
+                if (!NAMES.containsKey(part) && !SAME.contains(part) && !part.matches("[0-9]+")) {
+                    unknown.add(path);
+                    break;
+                }
             }
         }
-        return given;
+        return unknown;
     }
 
     private static String words(String text, String split, String join, Map<String, String> ours) {
@@ -68,12 +84,4 @@
         }
         return String.join(join, parts);
     }
-
-    static Ending ending(Line line) {
-        long code = line.neededWhole("code");
-        if (code < 0 || code >= ENDINGS.length) {
-            throw line.fault("unknown ending " + code);
-        }
-        return ENDINGS[(int) code];
-    }
 }
--- /dev/null
+++ b/src/main/java/merlinlever/core/Work.java
@@ -0,0 +1,70 @@
+package merlinlever.core;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import merlinlever.Ending;
+import merlinlever.Operation;
+
+/** One operation of the real backend, from its reading until nothing names it any more. */
+public final class Work {
+
+    final long id;
+    final String name;
+    final int tariff;
+    final String tariffName;
+    final Duration arrival;
+    /** What a repeat of it is known by, or null. */
+    final String mark;
+    Operation handle = Conductor.UNKNOWN;
+    Caller caller;
+    /** What it repeats, as it was known at its arrival. */
+    Work repeats;
+    byte[] body, callBody, reply, result;
+    boolean answered, launched, halted, calling;
+    Ending end;
+    Duration calledAt = Duration.ZERO, repliedAt = Duration.ZERO;
+    List<Work> sharers = List.of();
+
+    Work(long id, String name, int tariff, String tariffName, Duration arrival, String mark, byte[] body,
+            Caller caller) {
+        this.id = id;
+        this.name = name;
+        this.tariff = tariff;
+        this.tariffName = tariffName;
+        this.arrival = arrival;
+        this.mark = mark;
+        this.body = body;
+        this.caller = caller;
+    }
+
+    /** Its id as it came. */
+    public String name() {
+        return name;
+    }
+
+    public String tariffName() {
+        return tariffName;
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    /** The body of the call that its run waits for. */
+    public byte[] callBody() {
+        return callBody;
+    }
+
+    boolean sameAs(Work other) {
+        return tariff == other.tariff && Arrays.equals(body, other.body);
+    }
+
+    void sharedBy(Work other) {
+        if (sharers.isEmpty()) {
+            sharers = new ArrayList<>(2);
+        }
+        sharers.add(other);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/directory/Reports.java
@@ -0,0 +1,32 @@
+package merlinlever.directory;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.charset.StandardCharsets;
+
+/** Reports to the directory, one datagram each, which nobody has to receive. */
+public final class Reports {
+
+    private final DatagramChannel channel;
+    private final InetSocketAddress address;
+    private final String name;
+
+    public Reports(InetSocketAddress address, String name) throws IOException {
+        this.address = address;
+        this.name = name;
+        channel = DatagramChannel.open();
+        channel.configureBlocking(false);
+    }
+
+    public void report(boolean open) {
+        byte[] text = ("PULSE " + name + (open ? " open" : " closed")).getBytes(StandardCharsets.UTF_8);
+        try {
+            channel.send(ByteBuffer.wrap(text), address);
+        } catch (IOException e) {
+            // Nobody listens, or there is no room now: the next report says the same.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/directory/package-info.java
@@ -0,0 +1,2 @@
+/** The directory, through which edge nodes learn of this server. */
+package merlinlever.directory;
--- /dev/null
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -0,0 +1,140 @@
+package merlinlever.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import merlinlever.core.Backend;
+import merlinlever.net.Clock;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Listener;
+import merlinlever.net.Loop;
+
+/** The side that edge nodes connect to: the listener and all its connections, by what they are about and how long. */
+public final class EdgeNodes {
+
+    static final String OPERATIONS = "/svc/";
+    static final String HEALTH = "/status/live";
+
+    private static final Duration SWEEP = Duration.ofMillis(100);
+    private static final Duration SLOWEST = Duration.ofSeconds(5);
+    private static final Duration LINGER = Duration.ofSeconds(1);
+    /** Edge nodes close what is idle for the stated time; only what they forget is closed by that alone. */
+    private static final int FORGOTTEN = 2;
+
+    private final Loop loop;
+    private final Backend backend;
+    private final Fields fields;
+    private final Listener listener;
+    private final Map<String, Integer> tariffs = new HashMap<>();
+    private final Map<EdgeConnection.State, LinkedHashMap<EdgeConnection, Duration>> since =
+            new EnumMap<>(EdgeConnection.State.class);
+    private Duration closeIdle;
+    private boolean closing;
+
+    public EdgeNodes(Loop loop, Backend backend, Map<String, String> given, InetSocketAddress address,
+            int mostConnections) throws IOException {
+        this.loop = loop;
+        this.backend = backend;
+        fields = new Fields(given);
+        for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
+            tariffs.put(OPERATIONS + given.get("tariffs." + i + ".name"), i);
+        }
+        for (EdgeConnection.State state : EdgeConnection.State.values()) {
+            since.put(state, new LinkedHashMap<>());
+        }
+        closeIdle = Duration.ofMillis(FORGOTTEN
+                * (long) Double.parseDouble(given.getOrDefault("server.idle", "30000")));
+        listener = new Listener(loop, address, mostConnections, channel -> {
+            EdgeConnection edge = new EdgeConnection(this);
+            Connection made = Connection.accepted(loop, channel, edge, EdgeConnection.BUFFER,
+                    EdgeConnection.MOST_QUEUED);
+            edge.on(made);
+            made.readOn();
+        }, this::closeIdlest);
+        listener.accept();
+        loop.every(SWEEP, this::sweep);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    Backend backend() {
+        return backend;
+    }
+
+    Clock clock() {
+        return loop.clock();
+    }
+
+    int tariff(String path) {
+        return tariffs.getOrDefault(path, -1);
+    }
+
+    Backend.Asked asked(Head head, String path, byte[] body) {
+        return fields.asked(head, path.substring(OPERATIONS.length()), tariff(path), body, loop.clock());
+    }
+
+    /** Whether each answer asks for the end of its connection. */
+    boolean closing() {
+        return closing;
+    }
+
+    /** Nothing is accepted any more, and connections end with their next answer. */
+    public void close() {
+        closing = true;
+        listener.close();
+    }
+
+    /** Whether every answer that was given has been written. */
+    public boolean allWritten() {
+        return since.get(EdgeConnection.State.ANSWERING).isEmpty() && since.get(EdgeConnection.State.IN_HAND).isEmpty();
+    }
+
+    public void closeIdle(Duration after) {
+        closeIdle = after;
+    }
+
+    void now(EdgeConnection edge, EdgeConnection.State state) {
+        since.values().forEach(some -> some.remove(edge));
+        since.get(state).put(edge, loop.clock().now());
+    }
+
+    void gone(EdgeConnection edge) {
+        since.values().forEach(some -> some.remove(edge));
+        listener.gone();
+    }
+
+    private void closeIdlest() {
+        Iterator<EdgeConnection> idle = since.get(EdgeConnection.State.IDLE).keySet().iterator();
+        if (idle.hasNext()) {
+            idle.next().connection().end(Ended.IDLE);
+        }
+    }
+
+    private void sweep() {
+        endAll(EdgeConnection.State.IDLE, closeIdle, Ended.IDLE);
+        endAll(EdgeConnection.State.RECEIVING, SLOWEST, Ended.SLOW);
+        endAll(EdgeConnection.State.ANSWERING, SLOWEST, Ended.SLOW);
+        endAll(EdgeConnection.State.LINGERING, LINGER, Ended.DONE);
+    }
+
+    private void endAll(EdgeConnection.State state, Duration older, Ended how) {
+        Duration now = loop.clock().now();
+        LinkedHashMap<EdgeConnection, Duration> some = since.get(state);
+        while (!some.isEmpty()) {
+            Map.Entry<EdgeConnection, Duration> oldest = some.entrySet().iterator().next();
+            if (oldest.getValue().plus(older).compareTo(now) > 0) {
+                return;
+            }
+            some.remove(oldest.getKey());
+            oldest.getKey().connection().end(how);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/json/package-info.java
@@ -0,0 +1,2 @@
+/** A small reader and writer of JSON. */
+package merlinlever.json;
--- /dev/null
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -0,0 +1,253 @@
+package merlinlever.net;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection: reads into one buffer that its user takes whole messages from, and writes what is queued at the end
+ * of each batch in one gathered write. It ends once, in one way.
+ */
+public final class Connection {
+
+    /** Who uses a connection. */
+    public interface User {
+        /** It is made; for one that was accepted this is not called. */
+        default void made() {
+        }
+
+        /** Bytes lie between position and limit; those that are taken are passed over, the others come again. */
+        void read(ByteBuffer in);
+
+        /** All that was queued has been handed to the system. */
+        default void written() {
+        }
+
+        /** It is over; called once. */
+        void ended(Ended how);
+    }
+
+    private static final int BUFFERS_A_WRITE = 16;
+
+    private final Loop loop;
+    private final AsynchronousSocketChannel channel;
+    private final User user;
+    private final ByteBuffer in;
+    private final int mostQueued;
+    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
+    private int queued;
+    private boolean reading, taking, writing, asked, made;
+    private Ended ended;
+
+    private Connection(Loop loop, AsynchronousSocketChannel channel, User user, int readBuffer, int mostQueued) {
+        this.loop = loop;
+        this.channel = channel;
+        this.user = user;
+        this.mostQueued = mostQueued;
+        in = ByteBuffer.allocate(readBuffer);
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            // Only a matter of speed; a channel that is broken will say so when it is read.
+            made = false;
+        }
+    }
+
+    /** One that was accepted; {@link #start} begins to read. */
+    public static Connection accepted(Loop loop, AsynchronousSocketChannel channel, User user, int readBuffer,
+            int mostQueued) {
+        Connection connection = new Connection(loop, channel, user, readBuffer, mostQueued);
+        connection.made = true;
+        return connection;
+    }
+
+    /** Makes one; what is queued before it is made is written then. Its end comes later even if it fails at once. */
+    public static Connection to(Loop loop, SocketAddress address, User user, int readBuffer, int mostQueued,
+            Duration patience) throws IOException {
+        Connection connection = new Connection(loop, AsynchronousSocketChannel.open(loop.group()), user, readBuffer,
+                mostQueued);
+        Loop.Timer late = loop.in(patience, () -> connection.notMade(Ended.NOT_MADE));
+        loop.execute(() -> connection.connect(address, late));
+        return connection;
+    }
+
+    private void connect(SocketAddress address, Loop.Timer late) {
+        if (ended != null) {
+            return;
+        }
+        channel.connect(address, null, new CompletionHandler<Void, Void>() {
+            @Override public void completed(Void nothing, Void none) {
+                late.callOff();
+                if (ended == null) {
+                    made = true;
+                    user.made();
+                    wantWrite();
+                    readOn();
+                }
+            }
+
+            @Override public void failed(Throwable cause, Void none) {
+                late.callOff();
+                notMade(Ended.REFUSED);
+            }
+        });
+    }
+
+    private void notMade(Ended how) {
+        if (!made) {
+            end(how);
+        }
+    }
+
+    public Ended ended() {
+        return ended;
+    }
+
+    /** How much waits to be written. */
+    public int queued() {
+        return queued;
+    }
+
+    /** Goes on reading if there is room: after {@link User#read} has taken something that it left before. */
+    public void readOn() {
+        if (reading || taking || ended != null || !made) {
+            return;
+        }
+        if (!in.hasRemaining()) {
+            return;
+        }
+        reading = true;
+        channel.read(in, null, ON_READ);
+    }
+
+    /** Offers what has been read and was left. */
+    public void readAgain() {
+        if (!taking && ended == null && in.position() > 0) {
+            take();
+        }
+        readOn();
+    }
+
+    private void take() {
+        taking = true;
+        in.flip();
+        try {
+            user.read(in);
+        } finally {
+            in.compact();
+            taking = false;
+        }
+    }
+
+    private final CompletionHandler<Integer, Void> ON_READ = new CompletionHandler<>() {
+        @Override public void completed(Integer count, Void none) {
+            reading = false;
+            if (ended != null) {
+                return;
+            }
+            if (count < 0) {
+                end(Ended.CLOSED_THERE);
+                return;
+            }
+            take();
+            readOn();
+        }
+
+        @Override public void failed(Throwable cause, Void none) {
+            reading = false;
+            end(Ended.BROKEN);
+        }
+    };
+
+    /** Queues the bytes; they leave at the end of the batch. */
+    public void write(ByteBuffer... buffers) {
+        if (ended != null) {
+            return;
+        }
+        for (ByteBuffer buffer : buffers) {
+            if (buffer.hasRemaining()) {
+                queued += buffer.remaining();
+                out.add(buffer);
+            }
+        }
+        if (queued > mostQueued) {
+            end(Ended.OVERFULL);
+            return;
+        }
+        wantWrite();
+    }
+
+    private void wantWrite() {
+        if (made && !asked && !writing && !out.isEmpty()) {
+            asked = true;
+            loop.wantsWriting(this);
+        }
+    }
+
+    void writeOut() {
+        asked = false;
+        if (writing || ended != null || out.isEmpty()) {
+            return;
+        }
+        writing = true;
+        ByteBuffer[] some = out.stream().limit(BUFFERS_A_WRITE).toArray(ByteBuffer[]::new);
+        channel.write(some, 0, some.length, 0, TimeUnit.SECONDS, null, ON_WRITTEN);
+    }
+
+    private final CompletionHandler<Long, Void> ON_WRITTEN = new CompletionHandler<>() {
+        @Override public void completed(Long count, Void none) {
+            writing = false;
+            queued -= (int) (long) count;
+            while (!out.isEmpty() && !out.peek().hasRemaining()) {
+                out.poll();
+            }
+            if (ended != null) {
+                return;
+            }
+            if (out.isEmpty()) {
+                user.written();
+            } else {
+                wantWrite();
+            }
+        }
+
+        @Override public void failed(Throwable cause, Void none) {
+            writing = false;
+            end(Ended.BROKEN);
+        }
+    };
+
+    /** Says to the other side that nothing more will be written. */
+    public void writeNoMore() {
+        try {
+            if (ended == null) {
+                channel.shutdownOutput();
+            }
+        } catch (IOException e) {
+            end(Ended.BROKEN);
+        }
+    }
+
+    /** Ends it; a second end changes nothing. */
+    public void end(Ended how) {
+        if (ended != null) {
+            return;
+        }
+        ended = how;
+        out.clear();
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // It is gone either way.
+            queued = 0;
+        }
+        queued = 0;
+        user.ended(how);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/net/Listener.java
@@ -0,0 +1,93 @@
+package merlinlever.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** Accepts connections as long as there is room; out of room or of descriptors it asks for some and pauses. */
+public final class Listener {
+
+    private static final Duration PAUSE = Duration.ofMillis(50);
+
+    private final Loop loop;
+    private final AsynchronousServerSocketChannel channel;
+    private final Consumer<AsynchronousSocketChannel> taker;
+    private final Runnable makeRoom;
+    private final int most;
+    private int open;
+    private boolean accepting, closed;
+
+    /**
+     * @param most connections open at the same time
+     * @param taker is given each; {@link #gone} is to be called when it is over
+     * @param makeRoom closes the idlest connection, if any is idle
+     */
+    public Listener(Loop loop, InetSocketAddress address, int most, Consumer<AsynchronousSocketChannel> taker,
+            Runnable makeRoom) throws IOException {
+        this.loop = loop;
+        this.most = most;
+        this.taker = taker;
+        this.makeRoom = makeRoom;
+        channel = AsynchronousServerSocketChannel.open(loop.group());
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(address, 512);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) channel.getLocalAddress();
+    }
+
+    public int open() {
+        return open;
+    }
+
+    public void accept() {
+        if (accepting || closed) {
+            return;
+        }
+        if (open >= most) {
+            makeRoom.run();
+        }
+        if (open >= most) {
+            return;
+        }
+        accepting = true;
+        channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            @Override public void completed(AsynchronousSocketChannel accepted, Void none) {
+                accepting = false;
+                open++;
+                taker.accept(accepted);
+                accept();
+            }
+
+            @Override public void failed(Throwable cause, Void none) {
+                accepting = false;
+                if (!closed) {
+                    makeRoom.run();
+                    loop.in(PAUSE, Listener.this::accept);
+                }
+            }
+        });
+    }
+
+    /** A connection that was accepted is over. */
+    public void gone() {
+        open--;
+        accept();
+    }
+
+    public void close() {
+        closed = true;
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // Nothing more can be done about it.
+            accepting = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/net/Loop.java
@@ -0,0 +1,165 @@
+package merlinlever.net;
+
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The one thread on which all completion handlers and timers run. What is ready is a batch; after each batch the
+ * {@code after} hook runs and then all connections that have something to write are written to, once each.
+ */
+public final class Loop extends AbstractExecutorService {
+
+    private static final int LARGEST_BATCH = 256;
+
+    /** Something to be done at a time, unless it was called off. */
+    public static final class Timer {
+        private final long at;
+        private final long order;
+        private Runnable task;
+
+        private Timer(long at, long order, Runnable task) {
+            this.at = at;
+            this.order = order;
+            this.task = task;
+        }
+
+        public void callOff() {
+            task = null;
+        }
+    }
+
+    private final Clock clock;
+    private final Consumer<Throwable> failures;
+    private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            Comparator.<Timer>comparingLong(t -> t.at).thenComparingLong(t -> t.order));
+    private final AsynchronousChannelGroup group;
+    private List<Connection> unwritten = new ArrayList<>();
+    private Runnable after = () -> { };
+    private long timersSet;
+    private volatile boolean stopping;
+
+    public Loop(Clock clock, Consumer<Throwable> failures) throws IOException {
+        this.clock = clock;
+        this.failures = failures;
+        group = AsynchronousChannelGroup.withThreadPool(this);
+    }
+
+    public AsynchronousChannelGroup group() {
+        return group;
+    }
+
+    public Clock clock() {
+        return clock;
+    }
+
+    /** Runs after each batch, before anything is written. */
+    public void after(Runnable hook) {
+        after = hook;
+    }
+
+    public Timer in(Duration span, Runnable task) {
+        Timer timer = new Timer(clock.nanoTime() + span.toNanos(), timersSet++, task);
+        timers.add(timer);
+        return timer;
+    }
+
+    /** Runs the task now and then again and again, each time so long after the last run began. */
+    public void every(Duration span, Runnable task) {
+        in(span, () -> every(span, task));
+        task.run();
+    }
+
+    @Override public void execute(Runnable task) {
+        ready.add(task);
+    }
+
+    void wantsWriting(Connection connection) {
+        unwritten.add(connection);
+    }
+
+    /** Runs on the calling thread until {@link #stop}. */
+    public void run() {
+        while (!stopping) {
+            try {
+                batch(ready.poll(untilNextTimer(), TimeUnit.NANOSECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    public void stop() {
+        execute(() -> stopping = true);
+    }
+
+    private long untilNextTimer() {
+        while (!timers.isEmpty() && timers.peek().task == null) {
+            timers.poll();
+        }
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at - clock.nanoTime();
+    }
+
+    private void batch(Runnable first) {
+        int done = 0;
+        for (Runnable task = first; task != null; task = ++done < LARGEST_BATCH ? ready.poll() : null) {
+            guarded(task);
+        }
+        // Only those due now: a task that sets the next timer in the past does not keep the loop here.
+        long now = clock.nanoTime();
+        List<Timer> due = new ArrayList<>(0);
+        while (!timers.isEmpty() && timers.peek().at - now <= 0) {
+            due.add(timers.poll());
+        }
+        for (Timer timer : due) {
+            if (timer.task != null) {
+                guarded(timer.task);
+            }
+        }
+        do {
+            guarded(after);
+            List<Connection> writing = unwritten;
+            unwritten = new ArrayList<>();
+            writing.forEach(connection -> guarded(connection::writeOut));
+        } while (!unwritten.isEmpty());
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            failures.accept(e);
+        }
+    }
+
+    @Override public void shutdown() {
+        stop();
+    }
+
+    @Override public List<Runnable> shutdownNow() {
+        stop();
+        return List.of();
+    }
+
+    @Override public boolean isShutdown() {
+        return stopping;
+    }
+
+    @Override public boolean isTerminated() {
+        return stopping;
+    }
+
+    @Override public boolean awaitTermination(long timeout, TimeUnit unit) {
+        return stopping;
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/records/Reply.java
@@ -0,0 +1,72 @@
+package merlinlever.records;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import merlinlever.Ending;
+
+/**
+ * One reply of the records service.
+ *
+ * @param end where it ends in the bytes it was read from
+ */
+record Reply(long id, Ending ending, byte[] body, int end) {
+
+    static final int LONGEST_LINE = 128;
+    static final int LONGEST_BODY = 16 * 1024;
+
+    /** Bytes that are no reply. */
+    static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Malformed(String message) {
+            super(message);
+        }
+    }
+
+    /** The reply that begins at {@code start}, or null as long as it is not whole. */
+    static Reply read(byte[] bytes, int start, int limit) throws Malformed {
+        int at = start;
+        while (at + 1 < limit && (bytes[at] != '\r' || bytes[at + 1] != '\n')) {
+            at++;
+        }
+        if (at + 1 >= limit) {
+            if (limit - start > LONGEST_LINE) {
+                throw new Malformed("a line of over " + LONGEST_LINE + " bytes");
+            }
+            return null;
+        }
+        String[] parts = new String(bytes, start, at - start, StandardCharsets.ISO_8859_1).split(" ");
+        if (parts.length < 2 || parts.length > 3 || !parts[0].matches("[0-9a-fA-F]{16}")) {
+            throw new Malformed("no reply: " + String.join(" ", parts));
+        }
+        int bodyAt = at + 2;
+        int length = 0;
+        int end = bodyAt;
+        if (parts.length == 3) {
+            if (!parts[2].matches("[0-9]{1,5}") || Integer.parseInt(parts[2]) > LONGEST_BODY) {
+                throw new Malformed("no length: " + parts[2]);
+            }
+            length = Integer.parseInt(parts[2]);
+            end = bodyAt + length + 2;
+            if (end > limit) {
+                return null;
+            }
+            if (bytes[end - 2] != '\r' || bytes[end - 1] != '\n') {
+                throw new Malformed("a body without its end");
+            }
+        }
+        return new Reply(Long.parseUnsignedLong(parts[0], 16), ending(parts[1]),
+                Arrays.copyOfRange(bytes, bodyAt, bodyAt + length), end);
+    }
+
+    private static Ending ending(String word) throws Malformed {
+        return switch (word) {
+            case "DONE" -> Ending.OK;
+            case "WAIT" -> Ending.TURNED_AWAY;
+            case "ERROR" -> Ending.ERROR;
+            case "PAST" -> Ending.GIVEN_UP;
+            case "EMPTY" -> Ending.NEVER_BEGUN;
+            default -> throw new Malformed("unknown word " + word);
+        };
+    }
+}
