--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -148,6 +148,7 @@
             return;
         }
         log.info("link to the agent is back");
+        backend.linkBack(loop.clock().now());
         caughtUp = "up" + tokens++;
         send("{\"cmd\":\"sample\",\"token\":\"" + caughtUp + "\"}\n");
     }
@@ -168,7 +169,7 @@
     private void sampled(Notice notice) {
         if (notice.token() != null && notice.token().equals(caughtUp)) {
             caughtUp = null;
-            backend.linkBack(loop.clock().now());
+            backend.caughtUp();
         } else {
             sampling = false;
         }
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -37,7 +37,7 @@
     private final boolean subjects;
     private Conductor<Work> conductor;
     private Duration now = Duration.ZERO;
-    private Duration linkLostAt;
+    private Duration linkLostAt, linkBackAt;
     private boolean touched, healthy, leaving, exercising;
     private double level = Double.NaN;
     private int inHand;
@@ -243,8 +243,13 @@
         exercised(false);
     }
 
-    /** All notices of the time without a link have been read: what may not have got there is sent again. */
+    /** The link is made again: what is sent from here on gets there. */
     public void linkBack(Duration now) {
+        linkBackAt = now;
+    }
+
+    /** All notices of the time without a link have been read: what may not have got there is sent again. */
+    public void caughtUp() {
         if (linkLostAt == null) {
             return;
         }
@@ -257,7 +262,9 @@
             if (work.callBody == null && work.reply == null) {
                 outside.launch(work);
             }
-            if (work.reply != null && work.repliedAt.compareTo(doubtful) >= 0) {
+            // Sent twice, a reply might be taken for that to the next call of the run: only where it is in doubt.
+            if (work.reply != null && work.repliedAt.compareTo(doubtful) >= 0
+                    && work.repliedAt.compareTo(linkBackAt) < 0) {
                 outside.deliver(work, work.reply);
             }
             if (work.halted) {
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 import merlinlever.core.Backend;
 import merlinlever.core.Caller;
 import merlinlever.core.Work;
@@ -166,11 +165,7 @@
         last |= owner.closing();
         StringBuilder out = new StringBuilder(120).append("HTTP/1.1 ").append(status).append(' ')
                 .append(reason(status)).append("\r\nContent-Length: ").append(body.length).append("\r\n");
-        double level = owner.backend().level();
-        if (!Double.isNaN(level)) {
-            out.append("Srv-Load: ").append(String.format(Locale.ROOT, "%.4f", level)).append("\r\n");
-        }
-        out.append(fields).append(last ? "Connection: close\r\n\r\n" : "\r\n");
+        out.append(owner.level()).append(fields).append(last ? "Connection: close\r\n\r\n" : "\r\n");
         become(State.ANSWERING);
         connection.write(ByteBuffer.wrap(out.toString().getBytes(StandardCharsets.US_ASCII)), ByteBuffer.wrap(body));
     }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import merlinlever.core.Backend;
 import merlinlever.net.Clock;
@@ -36,6 +37,8 @@
             new EnumMap<>(EdgeConnection.State.class);
     private Duration closeIdle;
     private boolean closing;
+    private double said = Double.NaN;
+    private String level = "";
 
     public EdgeNodes(Loop loop, Backend backend, Map<String, String> given, InetSocketAddress address,
             int mostConnections) throws IOException {
@@ -81,6 +84,16 @@
         return fields.asked(head, path.substring(OPERATIONS.length()), tariff(path), body, loop.clock());
     }
 
+    /** The field that goes with every answer, or nothing. */
+    String level() {
+        double now = backend.level();
+        if (now != said) {
+            said = now;
+            level = Double.isNaN(now) ? "" : String.format(Locale.ROOT, "Srv-Load: %.4f\r\n", now);
+        }
+        return level;
+    }
+
     /** Whether each answer asks for the end of its connection. */
     boolean closing() {
         return closing;
--- a/src/main/java/merlinlever/http/Fields.java
+++ b/src/main/java/merlinlever/http/Fields.java
@@ -12,6 +12,8 @@
 
     private static final double LARGEST_KB = 2000;
     private static final long LONGEST_WAIT = 3_600_000;
+    /** Unix milliseconds beyond which nanoseconds do not fit. */
+    private static final long LATEST = 9_000_000_000_000L;
     /** How far in the future the time of a message may lie, for clocks that are read one after the other. */
     private static final Duration AHEAD = Duration.ofSeconds(5);
 
@@ -28,7 +30,7 @@
         double cost = head.has(Field.COST) ? head.number(Field.COST) : 0;
         double rank = head.has(Field.RANK) ? head.number(Field.RANK) : 0;
         boolean marked = "fingerprinted".equals(given.get("tariffs." + index + ".kind"));
-        boolean wrong = !head.hex(Field.ID, 16) || time < 0 || !(kb > 0 && kb < LARGEST_KB)
+        boolean wrong = !head.hex(Field.ID, 16) || time < 0 || time > LATEST || !(kb > 0 && kb < LARGEST_KB)
                 || !(cost >= 0 && cost < LONGEST_WAIT) || !(rank >= 0 && rank < 1)
                 || head.has(Field.WAIT) && (wait < 0 || wait > LONGEST_WAIT)
                 || head.has(Field.FROM) && head.digits(Field.FROM) < 0
--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -137,11 +137,11 @@
     private void take() {
         taking = true;
         in.flip();
-        try {
-            user.read(in);
-        } finally {
-            in.compact();
-            taking = false;
+        boolean well = loop.guarded(() -> user.read(in));
+        in.compact();
+        taking = false;
+        if (!well) {
+            end(Ended.FAILED);
         }
     }
 
--- a/src/main/java/merlinlever/net/Ended.java
+++ b/src/main/java/merlinlever/net/Ended.java
@@ -25,10 +25,8 @@
     MALFORMED(Ending.CUT_OFF, true),
     /** More waited to be written than is allowed. */
     OVERFULL(Ending.CUT_OFF, true),
-    /** A newer connection takes its place. */
-    REPLACED(Ending.CUT_OFF, true),
-    /** The program ends. */
-    STOPPING(Ending.CUT_OFF, true);
+    /** What uses it here has failed. */
+    FAILED(Ending.CUT_OFF, true);
 
     private final Ending ofCall;
     private final boolean callerGone;
--- a/src/main/java/merlinlever/net/Listener.java
+++ b/src/main/java/merlinlever/net/Listener.java
@@ -53,7 +53,8 @@
         if (open >= most) {
             makeRoom.run();
         }
-        if (open >= most) {
+        // Making room may have begun to accept already.
+        if (accepting || closed || open >= most) {
             return;
         }
         accepting = true;
--- a/src/main/java/merlinlever/net/Loop.java
+++ b/src/main/java/merlinlever/net/Loop.java
@@ -134,11 +134,14 @@
         } while (!unwritten.isEmpty());
     }
 
-    private void guarded(Runnable task) {
+    /** Runs a part whose failure is told and ends nothing else; says whether it went well. */
+    boolean guarded(Runnable task) {
         try {
             task.run();
+            return true;
         } catch (RuntimeException | StackOverflowError e) {
             failures.accept(e);
+            return false;
         }
     }
 
--- /dev/null
+++ b/src/test/java/merlinlever/agent/NoticeTest.java
@@ -0,0 +1,44 @@
+package merlinlever.agent;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import merlinlever.Ending;
+import merlinlever.json.Json;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class NoticeTest {
+
+    @Example
+    void anOutcomeAndTheGaugesAreRead() throws Json.Malformed {
+        Notice outcome = Notice.read("{\"cmd\":\"outcome\",\"offset\":7,\"req\":\"ff1f03aa5c7e2d41\",\"result\":\"OK\","
+                + "\"elapsed_ms\":1.5,\"payload\":\"AP8=\"}");
+        assertEquals(7, outcome.offset());
+        assertEquals(Long.parseUnsignedLong("ff1f03aa5c7e2d41", 16), outcome.id());
+        assertEquals(Ending.OK, outcome.ending());
+        assertArrayEquals(new byte[] {0, -1}, outcome.payload());
+        assertArrayEquals(new double[] {0.5, 3}, Notice.read("{\"cmd\":\"sampled\",\"token\":\"a\",\"load\":[0.5,3]}").row());
+    }
+
+    @Example
+    void whatIsNoNoticeIsMalformed() {
+        for (String bad : new String[] {"", "[]", "{\"req\":5}", "{\"req\":\"xyz\"}", "{\"payload\":\"?\"}",
+            "{\"offset\":\"1\"}", "{\"load\":[true]}", "{\"cmd\":\"a\"", "{} {}"}) {
+            assertThrows(Json.Malformed.class, () -> Notice.read(bad), bad);
+        }
+    }
+
+    @Property(tries = 1000, seed = "44")
+    void hostileLinesAreMalformedAndNothingElse(@ForAll String noise, @ForAll int at) {
+        String line = "{\"cmd\":\"outcome\",\"offset\":7,\"req\":\"9b1f03aa5c7e2d41\",\"result\":\"OK\",\"payload\":\"AP8=\"}";
+        int cut = Math.floorMod(at, line.length());
+        try {
+            Notice.read(line.substring(0, cut) + noise + line.substring(Math.min(line.length(), cut + 2)));
+        } catch (Json.Malformed e) {
+            assertEquals(Json.Malformed.class, e.getClass());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -0,0 +1,309 @@
+package merlinlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import merlinlever.json.Json;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+
+/** The whole program as a process of its own, with small stand-ins for the parties around it, on loopback. */
+class ServeTest {
+
+    private static final int PATIENCE_MS = 20_000;
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    private final ServerSocket agents = new ServerSocket(0, 50, HERE);
+    private final ServerSocket records = new ServerSocket(0, 50, HERE);
+    private final DatagramSocket directory = new DatagramSocket(0, HERE);
+    private final Path file = Files.createTempFile("merlinlever", ".json");
+    private Process program;
+    private Socket agent, record;
+    private BufferedReader fromAgent;
+    private int port;
+    private long ids = 0x9b1f03aa5c7e2d41L;
+
+    ServeTest() throws IOException {
+        agents.setSoTimeout(PATIENCE_MS);
+        records.setSoTimeout(PATIENCE_MS);
+        directory.setSoTimeout(PATIENCE_MS);
+    }
+
+    /** What an edge node hears. */
+    private record Answer(int status, String head, byte[] body) {
+    }
+
+    private Process start(String configuration) throws IOException {
+        Files.writeString(file, configuration);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", "target/classes", "merlinlever.cli.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        program = builder.start();
+        return program;
+    }
+
+    private void startUp() throws IOException {
+        start("{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"agent\":\"127.0.0.1:" + agents.getLocalPort()
+                + "\",\"lookup\":\"127.0.0.1:" + directory.getLocalPort() + "\",\"records\":\"127.0.0.1:"
+                + records.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":8000,\"limits\":{\"sockets\":80},"
+                + "\"settings\":{\"family-info\":{\"n-cores\":4,\"memory-kb\":90000,\"gauges\":[\"runnable\"],"
+                + "\"halt\":\"drop\",\"calls-by-class\":[true,true],\"kb-per-key\":10},\"invariants\":{"
+                + "\"drain-grace\":100,\"overload-factor\":8},\"services\":[{\"name\":\"look\",\"semantics\":\"repeatable\","
+                + "\"aim\":20000,\"hard-limit\":40000},{\"name\":\"buy\",\"semantics\":\"by_key\",\"aim\":20000,"
+                + "\"hard-limit\":40000,\"window\":60000}]}}");
+        String line = program.inputReader().readLine();
+        port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+        link(0);
+    }
+
+    private void greet() throws IOException {
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":60000.5}");
+        // The gauges that it asks for once it has started.
+        Map<?, ?> sample = hear("sample");
+        tell("{\"cmd\":\"sampled\",\"token\":\"" + sample.get("token") + "\",\"load\":[0]}");
+    }
+
+    private void link(long offset) throws IOException {
+        agent = agents.accept();
+        agent.setSoTimeout(PATIENCE_MS);
+        fromAgent = new BufferedReader(new java.io.InputStreamReader(agent.getInputStream(), StandardCharsets.UTF_8));
+        assertEquals(offset, hear("subscribe").get("offset"));
+    }
+
+    @AfterTry
+    void end() throws IOException, InterruptedException {
+        program.destroyForcibly().waitFor();
+        agents.close();
+        records.close();
+        directory.close();
+        Files.delete(file);
+    }
+
+    /** The next command of that word; samples between are answered, or its gauge would be out of date. */
+    private Map<?, ?> hear(String word) throws IOException {
+        while (true) {
+            Map<?, ?> command;
+            try {
+                command = Json.object(fromAgent.readLine());
+            } catch (Json.Malformed e) {
+                throw new IOException(e);
+            }
+            if (command.get("cmd").equals(word)) {
+                return command;
+            }
+            assertEquals("sample", command.get("cmd"), "" + command);
+            tell("{\"cmd\":\"sampled\",\"token\":\"" + command.get("token") + "\",\"load\":[0]}");
+        }
+    }
+
+    private void tell(String line) throws IOException {
+        agent.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void outcome(long offset, Map<?, ?> launch, String result, byte[] payload) throws IOException {
+        tell("{\"cmd\":\"outcome\",\"offset\":" + offset + ",\"req\":\"" + launch.get("req") + "\",\"result\":\"" + result
+                + "\",\"elapsed_ms\":3.5,\"payload\":\"" + Base64.getEncoder().encodeToString(payload) + "\"}");
+    }
+
+    private String operation(String tariff, String more, String body) {
+        return "POST /svc/" + tariff + " HTTP/1.1\r\nHost: api\r\nReq-Id: " + String.format("%016x", ids++)
+                + "\r\nReq-Time: " + System.currentTimeMillis() + "\r\nReq-From: 4\r\nReq-Wait-Ms: 30000\r\nReq-Kb: 24.5\r\n"
+                + "Req-Rank: 0.6250\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private Socket ask(String message) throws IOException {
+        Socket socket = new Socket(HERE, port);
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        return ask(socket, message);
+    }
+
+    private static Socket ask(Socket socket, String message) throws IOException {
+        socket.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    private static Answer answer(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            assertTrue(next >= 0, "the answer ends within its head: " + head);
+            head.write(next);
+        }
+        String text = head.toString(StandardCharsets.US_ASCII);
+        int at = text.indexOf("Content-Length: ") + 16;
+        int length = Integer.parseInt(text.substring(at, text.indexOf('\r', at)));
+        return new Answer(Integer.parseInt(text.substring(9, 12)), text, in.readNBytes(length));
+    }
+
+    private String recordsLine() throws IOException {
+        StringBuilder line = new StringBuilder();
+        while (line.indexOf("\r\n") < 0) {
+            line.append((char) record.getInputStream().read());
+        }
+        return line.substring(0, line.length() - 2);
+    }
+
+    @Example
+    void anOperationWithACallIsServedAndItsRepeatGetsTheSameBytes() throws IOException {
+        startUp();
+        greet();
+        byte[] bytes = new byte[256];
+        for (int i = 0; i < 256; i++) {
+            bytes[i] = (byte) i;
+        }
+        String token = "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+        Socket edge = new Socket(HERE, port);
+        edge.setTcpNoDelay(true);
+        for (char c : operation("buy", token, new String(bytes, StandardCharsets.ISO_8859_1)).toCharArray()) {
+            ask(edge, "" + c);
+        }
+        Map<?, ?> launch = hear("launch");
+        assertEquals("buy", launch.get("method"));
+        assertArrayEquals(bytes, Base64.getDecoder().decode((String) launch.get("payload")));
+        tell("{\"cmd\":\"request\",\"offset\":1,\"req\":\"" + launch.get("req") + "\",\"payload\":\"AQI=\"}");
+        record = records.accept();
+        assertTrue(recordsLine().matches("OP " + launch.get("req") + " [0-9]+ 2"));
+        assertArrayEquals(new byte[] {1, 2, '\r', '\n'}, record.getInputStream().readNBytes(4));
+        record.getOutputStream().write((launch.get("req") + " DONE 2\r\n\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        Map<?, ?> deliver = hear("deliver");
+        assertArrayEquals(new byte[] {'\r', '\n'}, Base64.getDecoder().decode((String) deliver.get("payload")));
+        outcome(2, launch, "OK", bytes);
+        outcome(2, launch, "ERROR", new byte[0]);
+        Answer first = answer(edge);
+        assertEquals(200, first.status());
+        assertArrayEquals(bytes, first.body());
+        Answer repeat = answer(ask(operation("buy", token, new String(bytes, StandardCharsets.ISO_8859_1))));
+        assertEquals(200, repeat.status());
+        assertArrayEquals(bytes, repeat.body());
+        // The connection goes on; the next that reaches the agent is the next operation, not the repeat.
+        ask(edge, operation("look", "", ""));
+        Map<?, ?> next = hear("launch");
+        assertEquals("look", next.get("method"));
+        outcome(3, next, "ERROR", new byte[0]);
+        assertEquals(500, answer(edge).status());
+        DatagramPacket report = new DatagramPacket(new byte[100], 100);
+        directory.receive(report);
+        assertEquals("PULSE n3 open", new String(report.getData(), 0, report.getLength(), StandardCharsets.UTF_8));
+    }
+
+    @Example
+    void beforeTheAgentIsUpOperationsArePushedBackAndChecksAreBad() throws IOException {
+        startUp();
+        assertEquals(503, answer(ask(operation("look", "", ""))).status());
+        assertEquals(503, answer(ask("GET /status/live HTTP/1.1\r\n\r\n")).status());
+        greet();
+        assertEquals(200, answer(ask("GET /status/live HTTP/1.1\r\n\r\n")).status());
+        for (String how : new String[] {"OK", "ERROR"}) {
+            Socket check = ask("GET /status/live?real=1 HTTP/1.1\r\n\r\n");
+            tell("{\"cmd\":\"exercised\",\"token\":\"" + hear("exercise").get("token") + "\",\"result\":\"" + how + "\"}");
+            assertEquals(how.equals("OK") ? 200 : 503, answer(check).status());
+        }
+    }
+
+    @Example
+    void whatIsNoOperationGetsItsStatusAndNeverReachesTheAgent() throws IOException {
+        startUp();
+        greet();
+        String good = operation("look", "", "");
+        String[][] bad = {
+            {"404", good.replace("/svc/look", "/svc/other")}, {"404", good.replace("/svc/look", "/")},
+            {"405", good.replace("POST", "PUT")}, {"405", "POST /status/live HTTP/1.1\r\nContent-Length: 0\r\n\r\n"},
+            {"411", good.replace("Content-Length: 0\r\n", "")}, {"413", good.replace("Length: 0", "Length: 2049")},
+            {"431", "GET / HTTP/1.1\r\na: " + "b".repeat(5000) + "\r\n\r\n"}, {"400", "nonsense\r\n\r\n"},
+            {"501", good.replace("Content-Length: 0", "Transfer-Encoding: chunked")},
+            {"400", good.replace("Req-Id: ", "Req-Id: x")}, {"400", good.replace("Req-Kb: 24.5", "Req-Kb: 0")},
+            {"400", good.replace("Req-Kb: 24.5\r\n", "")}, {"400", good.replace("Req-Rank: 0", "Req-Rank: 1")},
+            {"400", good.replace("Req-Wait-Ms: ", "Req-Wait-Ms: -")}, {"400", operation("buy", "", "")},
+            {"400", good.replace("Req-Time: ", "Req-Time: 9")}};
+        for (String[] each : bad) {
+            assertEquals(Integer.parseInt(each[0]), answer(ask(each[1])).status(), each[1]);
+        }
+        Socket edge = ask(good);
+        outcome(1, hear("launch"), "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+    }
+
+    /** More connections than there is room for: the idlest make room, and those with an operation stay. */
+    @Example
+    void outOfDescriptorsTheIdlestConnectionsMakeRoom() throws IOException {
+        startUp();
+        greet();
+        Socket busy = ask(operation("look", "", ""));
+        Map<?, ?> launch = hear("launch");
+        for (int i = 0; i < 60; i++) {
+            assertEquals(200, answer(ask("GET /status/live HTTP/1.1\r\n\r\n")).status());
+        }
+        outcome(1, launch, "OK", new byte[] {7});
+        assertEquals(200, answer(busy).status());
+    }
+
+    @Example
+    void aCallerThatGoesEndsTheRunAndALostLinkDoesNot() throws IOException {
+        startUp();
+        greet();
+        Socket gone = ask(operation("look", "", ""));
+        Map<?, ?> first = hear("launch");
+        gone.close();
+        assertEquals(first.get("req"), hear("freeze").get("req"));
+        outcome(1, first, "STOPPED", new byte[0]);
+        Socket edge = ask(operation("look", "", ""));
+        Map<?, ?> launch = hear("launch");
+        agent.close();
+        link(1);
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":70000}");
+        // What may have been lost with the link is asked again once all notices are read; here it runs already.
+        assertEquals(launch.get("req"), hear("launch").get("req"));
+        tell("no json");
+        outcome(2, launch, "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+    }
+
+    @Example
+    void toldToLeaveItAnswersWhatItHasAndEnds() throws IOException, InterruptedException {
+        startUp();
+        greet();
+        Socket edge = ask(operation("buy", "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "a"));
+        Map<?, ?> launch = hear("launch");
+        program.destroy();
+        // Its health is bad from the notice on, and that is seen before anything else is told.
+        Socket check = ask("GET /status/live HTTP/1.1\r\n\r\n");
+        while (answer(check).status() != 503) {
+            ask(check, "GET /status/live HTTP/1.1\r\n\r\n");
+        }
+        outcome(1, launch, "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+        assertTrue(program.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(143, program.exitValue());
+    }
+
+    @Example
+    void whatItCannotStartWithIsSaidInOneLine() throws IOException, InterruptedException {
+        String good = "{\"listen\":\"127.0.0.1:" + agents.getLocalPort() + "\",\"agent\":\"127.0.0.1:1\",\"lookup\":\"127.0.0.1:1\"}";
+        String[] bad = {"{", "[]", "{}", good.replace("\"agent\":", "\"other\":"), good.replace("127.0.0.1:1\"}", "nowhere\"}"),
+            good};
+        for (String each : bad) {
+            start(each);
+            String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(1, program.waitFor(), each);
+            assertTrue(said.startsWith("merlinlever: ") && said.indexOf('\n') == said.length() - 1, said);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -0,0 +1,447 @@
+package merlinlever.core;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import merlinlever.Ending;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** The life of an operation with a clock and parties of the test's own. */
+class BackendTest {
+
+    private static final Map<String, String> GIVEN = Map.ofEntries(
+            Map.entry("server.cores", "4"), Map.entry("server.memory-kb", "20000"),
+            Map.entry("server.run-factor", "4"), Map.entry("server.gauges", "busy,run-queue"),
+            Map.entry("server.halt", "drop"), Map.entry("server.calls-by-tariff", "true,true"),
+            Map.entry("rules.crowd-factor", "8"), Map.entry("rules.drain-grace", "500"),
+            Map.entry("tariffs.0.name", "look"), Map.entry("tariffs.0.kind", "retriable"),
+            Map.entry("tariffs.0.soft-limit", "500"), Map.entry("tariffs.0.client-timeout", "1000"),
+            Map.entry("tariffs.1.name", "buy"), Map.entry("tariffs.1.kind", "fingerprinted"),
+            Map.entry("tariffs.1.soft-limit", "500"), Map.entry("tariffs.1.client-timeout", "1000"),
+            Map.entry("tariffs.1.window", "5000"));
+
+    /** All parties: what was asked of them, as words, and what the callers were answered. */
+    private static final class Around implements Outside {
+        final List<String> asked = new ArrayList<>();
+        final Map<String, List<String>> answers = new HashMap<>();
+        final Map<String, Work> taken = new HashMap<>();
+        final Backend backend;
+        Duration now = Duration.ofMillis(1000);
+        Duration alarm;
+        long ids;
+
+        Around(Map<String, String> more) {
+            Map<String, String> given = new HashMap<>(GIVEN);
+            given.putAll(more);
+            backend = new Backend(given, 5, this);
+            backend.started(now, false);
+            settle();
+        }
+
+        Around() {
+            this(Map.of());
+        }
+
+        String take(String tariff, String token, String body) {
+            String name = String.format("%016x", ++ids);
+            List<String> heard = new ArrayList<>();
+            answers.put(name, heard);
+            Caller caller = new Caller() {
+                @Override public void satisfied(byte[] result) {
+                    heard.add("satisfied " + new String(result, StandardCharsets.UTF_8));
+                }
+
+                @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
+                    heard.add("pushed back");
+                }
+
+                @Override public void brokenOff() {
+                    heard.add("broken off");
+                }
+            };
+            taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, tariff, now, now.plusMillis(1000), 10, null,
+                    null, false, token, null, body.getBytes(StandardCharsets.UTF_8)), caller));
+            settle();
+            return name;
+        }
+
+        void settle() {
+            backend.settle(now);
+        }
+
+        void after(long ms) {
+            Duration until = now.plusMillis(ms);
+            while (alarm != null && alarm.compareTo(until) <= 0) {
+                now = alarm.compareTo(now) > 0 ? alarm : now;
+                alarm = null;
+                backend.alarmed(now);
+                backend.gauges(now, new double[] {0, 0});
+                settle();
+            }
+            now = until;
+            settle();
+        }
+
+        void ends(String name, Ending how, String result) {
+            backend.ended(now, Long.parseLong(name, 16), how, result.getBytes(StandardCharsets.UTF_8));
+            settle();
+        }
+
+        void calls(String name) {
+            backend.needsCall(now, Long.parseLong(name, 16), new byte[] {1});
+            settle();
+        }
+
+        void replied(String name, Ending how) {
+            backend.callEnded(now, Long.parseLong(name, 16), how, new byte[] {2});
+            settle();
+        }
+
+        long times(String what) {
+            return asked.stream().filter(what::equals).count();
+        }
+
+        String answer(String name) {
+            assertEquals(1, answers.get(name).size(), name + ": " + answers.get(name));
+            return answers.get(name).get(0);
+        }
+
+        @Override public void launch(Work work) {
+            asked.add("launch " + work.name());
+        }
+
+        @Override public void freeze(Work work) {
+            asked.add("freeze " + work.name());
+        }
+
+        @Override public void deliver(Work work, byte[] reply) {
+            assertArrayEquals(new byte[] {2}, reply);
+            asked.add("deliver " + work.name());
+        }
+
+        @Override public void forgo(Work work) {
+            asked.add("forgo " + work.name());
+        }
+
+        @Override public void sample() {
+        }
+
+        @Override public void exercise() {
+            asked.add("exercise");
+        }
+
+        @Override public void call(Work work, Duration giveUpAfter) {
+            asked.add("call " + work.name());
+        }
+
+        @Override public void giveUp(Work work) {
+            asked.add("give up " + work.name());
+        }
+
+        @Override public void closeIdle(Duration after) {
+        }
+
+        @Override public void alarm(Duration at) {
+            alarm = at;
+        }
+
+        @Override public void log(String line) {
+        }
+    }
+
+    @Example
+    void aRunWithACallIsAnsweredOnceWithItsResult() {
+        Around around = new Around();
+        String a = around.take("look", null, "a");
+        around.calls(a);
+        around.replied(a, Ending.OK);
+        around.ends(a, Ending.OK, "result");
+        around.ends(a, Ending.OK, "again");
+        assertEquals("satisfied result", around.answer(a));
+        assertEquals(List.of("launch " + a, "call " + a, "deliver " + a), around.asked);
+    }
+
+    /** Rule 2: whoever repeats a fingerprinted operation within its window gets the outcome of the one run. */
+    @Example
+    void repeatsShareTheOneRunWhileItLastsAndAfterIt() {
+        Around around = new Around();
+        String first = around.take("buy", "t", "a");
+        String during = around.take("buy", "t", "a");
+        around.ends(first, Ending.OK, "done");
+        String after = around.take("buy", "t", "a");
+        around.after(4900);
+        String late = around.take("buy", "t", "a");
+        for (String name : List.of(first, during, after, late)) {
+            assertEquals("satisfied done", around.answer(name));
+        }
+        assertEquals(List.of("launch " + first), around.asked);
+        around.after(200);
+        String next = around.take("buy", "t", "a");
+        assertEquals(1, around.times("launch " + next));
+    }
+
+    /** The caller of the first went away; its run goes on for the one that asks again. */
+    @Example
+    void aRepeatGetsTheOutcomeOfARunWhoseCallerHasGone() {
+        Around around = new Around();
+        String first = around.take("buy", "t", "a");
+        around.backend.callerGone(around.now, around.taken.get(first));
+        around.settle();
+        String again = around.take("buy", "t", "a");
+        around.ends(first, Ending.OK, "done");
+        assertEquals("satisfied done", around.answer(again));
+        assertTrue(around.answers.get(first).isEmpty());
+    }
+
+    @Example
+    void aRepeatOfWhatFailedIsBrokenOffAndNotRun() {
+        Around around = new Around();
+        String first = around.take("buy", "t", "a");
+        around.ends(first, Ending.ERROR, "");
+        String again = around.take("buy", "t", "a");
+        assertEquals("broken off", around.answer(again));
+        assertEquals(1, around.asked.size());
+    }
+
+    /** A mark that comes with another body, or for another tariff, stands for no operation that could be shared. */
+    @Example
+    void aMarkWithAnotherBodyIsBrokenOffAndLeavesTheFirstAlone() {
+        Around around = new Around();
+        String first = around.take("buy", "t", "a");
+        String other = around.take("buy", "t", "b");
+        assertEquals("broken off", around.answer(other));
+        around.ends(first, Ending.OK, "done");
+        assertEquals("satisfied done", around.answer(first));
+        assertEquals("satisfied done", around.answer(around.take("buy", "t", "a")));
+    }
+
+    /** The process's own limit: with more marks than are planned for, new ones are pushed back, none is dropped. */
+    @Example
+    void marksBeyondTheLimitOfTheProcessArePushedBackAndNoneIsForgotten() {
+        Around around = new Around(Map.of("server.kb-per-fingerprint", "0"));
+        int satisfied = 0;
+        String name = around.take("buy", "t0", "a");
+        for (int i = 0; around.times("launch " + name) == 1 && i < 4200; i++) {
+            around.ends(name, Ending.OK, "r" + i);
+            satisfied++;
+            name = around.take("buy", "t" + satisfied, "a");
+        }
+        assertTrue(satisfied > 3000 && satisfied < 4000, "" + satisfied);
+        around.after(600);
+        assertEquals("pushed back", around.answer(name));
+        assertEquals("satisfied r0", around.answer(around.take("buy", "t0", "a")));
+    }
+
+    @Example
+    void readsOfASubjectShareAFreshAnswerWhereThatIsAllowed() {
+        Around around = new Around(Map.of("server.fresh-for", "1000"));
+        for (int round = 0; round < 2; round++) {
+            Work[] works = new Work[3];
+            List<String> heard = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                works[i] = around.backend.arrived(around.now, new Backend.Asked(++around.ids, "w", "look", around.now, null,
+                        10, null, null, false, null, "s", new byte[0]), new Caller() {
+                            @Override public void satisfied(byte[] result) {
+                                heard.add(new String(result, StandardCharsets.UTF_8));
+                            }
+
+                            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
+                            }
+
+                            @Override public void brokenOff() {
+                            }
+                        });
+                around.settle();
+                if (i == 1) {
+                    around.ends(Long.toHexString(works[0].id), Ending.OK, "fresh");
+                }
+            }
+            assertEquals(List.of("fresh", "fresh", "fresh"), heard);
+            assertEquals(round + 1, around.times("launch w"));
+            around.after(1100);
+        }
+    }
+
+    @Example
+    void aCallIsGivenUpWhenItsCallerGoesOrItsTimeIsOver() {
+        Around around = new Around();
+        String gone = around.take("look", null, "a");
+        String late = around.take("look", null, "b");
+        around.calls(gone);
+        around.calls(late);
+        around.backend.callerGone(around.now, around.taken.get(gone));
+        around.after(1100);
+        assertEquals(1, around.times("give up " + gone));
+        assertEquals(1, around.times("give up " + late));
+        assertEquals("broken off", around.answer(late));
+        around.replied(late, Ending.OK);
+        assertEquals(0, around.times("deliver " + late));
+    }
+
+    /** What was sent on a link that broke is sent again, and only that; a reply that was taken is not sent twice. */
+    @Example
+    void afterALostLinkOnlyWhatIsInDoubtIsSentAgain() {
+        Around around = new Around();
+        String old = around.take("look", null, "a");
+        around.calls(old);
+        around.replied(old, Ending.OK);
+        around.after(100);
+        String ended = around.take("look", null, "b");
+        String doubtful = around.take("look", null, "c");
+        around.calls(doubtful);
+        String calling = around.take("look", null, "d");
+        around.calls(calling);
+        around.backend.linkLost(around.now);
+        around.replied(doubtful, Ending.OK);
+        String without = around.take("buy", "t", "e");
+        around.after(50);
+        around.backend.linkBack(around.now);
+        around.ends(ended, Ending.OK, "done");
+        around.asked.clear();
+        around.replied(calling, Ending.OK);
+        around.backend.caughtUp();
+        assertEquals(List.of("deliver " + calling, "deliver " + doubtful, "launch " + without), around.asked);
+        around.asked.clear();
+        around.backend.caughtUp();
+        assertEquals(List.of(), around.asked);
+    }
+
+    /** An outcome that can no longer be learned: answered, and a mark of it is never run again. */
+    @Example
+    void runsWhoseNoticesWereMissedAreBrokenOffAndNotBegunAgain() {
+        Around around = new Around();
+        String a = around.take("buy", "t", "a");
+        around.backend.noticesMissed(around.now);
+        around.settle();
+        assertEquals("broken off", around.answer(a));
+        assertEquals("broken off", around.answer(around.take("buy", "t", "a")));
+        assertEquals(1, around.asked.size());
+    }
+
+    @Example
+    void allIsAnsweredBeforeTheStopAndNothingPastTheGraceIsRun() {
+        Around around = new Around();
+        String running = around.take("buy", "t", "a");
+        around.backend.leave(around.now, around.now.plusMillis(900));
+        around.settle();
+        around.after(600);
+        String late = around.take("look", null, "b");
+        assertEquals("pushed back", around.answer(late));
+        around.after(290);
+        assertEquals("broken off", around.answer(running));
+        assertEquals(0, around.backend.inHand());
+        assertEquals(List.of("launch " + running, "freeze " + running), around.asked);
+    }
+
+    @Example
+    void deepChecksShareOneExerciseAndAreBadWithoutALink() {
+        Around around = new Around();
+        List<Boolean> heard = new ArrayList<>();
+        around.backend.checkDeeply(heard::add);
+        around.backend.checkDeeply(heard::add);
+        assertEquals(1, around.times("exercise"));
+        around.backend.exercised(true);
+        assertEquals(List.of(true, true), heard);
+        around.backend.checkDeeply(heard::add);
+        around.backend.linkLost(around.now);
+        assertEquals(List.of(true, true, false), heard);
+    }
+
+    @Example
+    void beforeTheAgentIsUpAllIsPushedBackAndHealthIsBad() {
+        Around around = new Around();
+        Backend early = new Backend(GIVEN, 5, around);
+        List<Boolean> checked = new ArrayList<>();
+        early.checkDeeply(checked::add);
+        assertFalse(early.healthy() || checked.get(0));
+        assertEquals(null, early.arrived(Duration.ZERO, null, new Caller() {
+            @Override public void satisfied(byte[] result) {
+            }
+
+            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
+                checked.add(true);
+            }
+
+            @Override public void brokenOff() {
+            }
+        }));
+        assertEquals(2, checked.size());
+    }
+
+    /** Whatever happens in whatever order: one answer in time, no mark run twice, no result that no run made. */
+    @Property(tries = 60, seed = "41")
+    void theRulesHoldOnRandomDays(@ForAll long seed) {
+        Around around = new Around();
+        SplittableRandom chance = new SplittableRandom(seed);
+        Map<String, String> tokens = new HashMap<>();
+        Map<String, Duration> due = new HashMap<>();
+        Set<String> gone = new HashSet<>();
+        Set<String> over = new HashSet<>();
+        boolean linked = true;
+        for (int step = 0; step < 400; step++) {
+            List<String> running = around.asked.stream().filter(w -> w.startsWith("launch ")).map(w -> w.substring(7))
+                    .distinct().filter(n -> !over.contains(n)).toList();
+            String some = running.isEmpty() ? null : running.get(chance.nextInt(running.size()));
+            int what = chance.nextInt(10);
+            if (what < 3) {
+                String token = chance.nextInt(3) == 0 ? null : "t" + chance.nextInt(12);
+                String name = around.take(token == null ? "look" : "buy", token, "a");
+                tokens.put(name, String.valueOf(token));
+                due.put(name, around.now.plusMillis(1000));
+            } else if (what == 3 && some != null) {
+                around.calls(some);
+            } else if (what == 4 && some != null) {
+                around.replied(some, Ending.values()[chance.nextInt(6)]);
+            } else if (what < 7 && some != null && linked) {
+                over.add(some);
+                around.ends(some, chance.nextInt(4) == 0 ? Ending.ERROR : Ending.OK, tokens.get(some));
+            } else if (what == 7 && some != null && chance.nextBoolean()) {
+                if (around.answers.get(some).isEmpty()) {
+                    gone.add(some);
+                }
+                around.backend.callerGone(around.now, around.taken.get(some));
+            } else if (what == 8 && chance.nextInt(4) == 0) {
+                if (linked) {
+                    around.backend.linkLost(around.now);
+                } else {
+                    around.backend.linkBack(around.now);
+                    around.backend.caughtUp();
+                }
+                linked = !linked;
+            } else {
+                around.after(chance.nextInt(120));
+            }
+            Duration now = around.now;
+            around.answers.forEach((name, heard) -> {
+                assertTrue(heard.size() <= 1, name + " " + heard);
+                assertTrue(heard.size() == 1 || gone.contains(name) || now.compareTo(due.get(name).plusMillis(20)) <= 0);
+                assertTrue(heard.isEmpty() || !heard.get(0).startsWith("satisfied")
+                        || heard.get(0).equals("satisfied " + tokens.get(name)), name);
+            });
+        }
+        Map<String, Set<String>> runs = new HashMap<>();
+        around.asked.stream().filter(w -> w.startsWith("launch ")).map(w -> w.substring(7))
+                .filter(n -> !tokens.get(n).equals("null"))
+                .forEach(n -> runs.computeIfAbsent(tokens.get(n), t -> new HashSet<>()).add(n));
+        // The windows of one mark's runs do not overlap.
+        runs.values().forEach(names -> {
+            List<Duration> at = names.stream().map(n -> due.get(n).minusMillis(1000)).sorted().toList();
+            for (int i = 1; i < at.size(); i++) {
+                assertTrue(at.get(i).minus(at.get(i - 1)).toMillis() > 5000, "" + at);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/http/HeadTest.java
@@ -0,0 +1,87 @@
+package merlinlever.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import merlinlever.http.Head.Field;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Heads as they come and as they should not. */
+class HeadTest {
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static int read(String text) {
+        byte[] bytes = ascii(text);
+        return new Head().read(bytes, 0, bytes.length);
+    }
+
+    @Example
+    void theFieldsOfAnOperationAreFound() {
+        byte[] bytes = ascii("xxPOST /svc/buy?real=1&b=2 HTTP/1.1\r\nHost: a\r\nreq-ID: 9b1f03aa5c7e2d41\r\n"
+                + "Req-Kb:  24.5 \r\nReq-Time: 1764576000123\r\nContent-Length: 12\r\nConnection: Close\r\n\r\nbody");
+        Head head = new Head();
+        assertEquals(0, head.read(bytes, 2, Head.end(bytes, 2, 2, bytes.length)));
+        assertEquals("POST", head.method());
+        assertEquals("/svc/buy", head.path());
+        assertTrue(head.asks("real=1") && head.asks("b=2") && !head.asks("real=2"));
+        assertTrue(head.hex(Field.ID, 16) && !head.hex(Field.ID, 32) && !head.hex(Field.TOKEN, 32));
+        assertEquals(24.5, head.number(Field.KB));
+        assertEquals(1764576000123L, head.digits(Field.TIME));
+        assertEquals(-1, head.digits(Field.KB));
+        assertEquals(12, head.length());
+        assertTrue(head.closes());
+    }
+
+    @Example
+    void whatIsWrongWithAHeadIsSaidByItsStatus() {
+        String start = "POST /svc/a HTTP/1.1\r\n";
+        assertEquals(0, read(start + "\r\n"));
+        for (String bad : new String[] {"POST /svc/a\r\n\r\n", "POST svc HTTP/1.1\r\n\r\n", "POST /a b HTTP/1.1\r\n\r\n",
+            "POST /a HTTP/2.0\r\n\r\n", " /a HTTP/1.1\r\n\r\n", "P@ST /a HTTP/1.1\r\n\r\n", start + "no colon\r\n\r\n",
+            start + ": x\r\n\r\n", start + "a : x\r\n\r\n", start + " folded: x\r\n\r\n", start + "a: x\u0001\r\n\r\n",
+            start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n", start + "Content-Length: -1\r\n\r\n",
+            start + "Content-Length: 1x\r\n\r\n", start + "Content-Length:\r\n\r\n",
+            start + "Req-Id: a\r\nReq-Id: b\r\n\r\n", start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+            assertEquals(400, read(bad), bad);
+        }
+        assertEquals(0, read(start + "Content-Length: 4\r\nContent-Length: 4\r\n\r\n"));
+        assertEquals(413, read(start + "Content-Length: 2049\r\n\r\n"));
+        assertEquals(501, read(start + "Transfer-Encoding: chunked\r\n\r\n"));
+    }
+
+    @Property(tries = 500, seed = "42")
+    void theEndIsFoundWhereverTheBytesAreCut(@ForAll byte[] noise, @ForAll int cut) {
+        byte[] head = ascii("GET / HTTP/1.1\r\na: b\r\n\r\n");
+        byte[] all = java.util.Arrays.copyOf(head, head.length + noise.length);
+        System.arraycopy(noise, 0, all, head.length, noise.length);
+        int first = Math.floorMod(cut, all.length + 1);
+        int found = Head.end(all, 0, 0, first);
+        assertEquals(head.length, found >= 0 ? found : Head.end(all, 0, first, all.length));
+    }
+
+    @Property(tries = 2000, seed = "43")
+    void hostileBytesNeverThrow(@ForAll byte[] noise, @ForAll int at) {
+        byte[] bytes = ascii("POST /svc/buy?x HTTP/1.1\r\nReq-Kb: 1\r\nReq-Id: 9b1f03aa5c7e2d41\r\nContent-Length: 3\r\n\r\n");
+        for (int i = 0; i < noise.length && i < 6; i++) {
+            bytes[Math.floorMod(at + i * 7, bytes.length)] = noise[i];
+        }
+        int end = Head.end(bytes, 0, 0, bytes.length);
+        if (end > 0) {
+            Head head = new Head();
+            int status = head.read(bytes, 0, end);
+            assertTrue(status == 0 || status == 400 || status == 413 || status == 501, "" + status);
+            if (status == 0) {
+                head.number(Field.KB);
+                head.digits(Field.TIME);
+                head.closes();
+                assertTrue(head.length() <= Head.LONGEST_BODY && head.path().startsWith("/"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/log/LogTest.java
@@ -0,0 +1,30 @@
+package merlinlever.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicReference;
+import net.jqwik.api.Example;
+
+class LogTest {
+
+    @Example
+    void aFloodIsCutAndCounted() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        AtomicReference<Instant> time = new AtomicReference<>(Instant.ofEpochSecond(1_000_000));
+        Log log = new Log(new PrintStream(out, true, StandardCharsets.UTF_8), time::get);
+        for (int i = 0; i < 50; i++) {
+            log.info("line\n" + i);
+        }
+        time.set(time.get().plusSeconds(1));
+        log.warn("next");
+        String[] lines = out.toString(StandardCharsets.UTF_8).split(System.lineSeparator());
+        assertEquals(22, lines.length);
+        assertEquals("1970-01-12T13:46:40Z INFO line 0", lines[0]);
+        assertEquals("1970-01-12T13:46:41Z WARN 30 lines left out", lines[20]);
+        assertEquals("1970-01-12T13:46:41Z WARN next", lines[21]);
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/net/NetTest.java
@@ -0,0 +1,135 @@
+package merlinlever.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import merlinlever.Ending;
+import net.jqwik.api.Example;
+
+class NetTest {
+
+    private final List<Throwable> failures = new ArrayList<>();
+
+    /** Records the end of a connection and stops the loop with it. */
+    private final class Ends implements Connection.User {
+        final List<Ended> heard = new ArrayList<>();
+        private final Loop loop;
+        private final boolean fails;
+
+        Ends(Loop loop, boolean fails) {
+            this.loop = loop;
+            this.fails = fails;
+        }
+
+        @Override public void read(ByteBuffer in) {
+            if (fails) {
+                throw new IllegalStateException("on purpose");
+            }
+            in.position(in.limit());
+        }
+
+        @Override public void ended(Ended how) {
+            heard.add(how);
+            loop.stop();
+        }
+    }
+
+    private Loop loop() throws IOException {
+        return new Loop(Clock.system(), failures::add);
+    }
+
+    @Example
+    void spansGoOnFromOneReadingOfTheUnixClock() {
+        AtomicLong nanos = new AtomicLong(50);
+        Clock clock = new Clock(Instant.ofEpochMilli(10_000), nanos::get);
+        nanos.addAndGet(2_000_000);
+        assertEquals(Duration.ofMillis(2), clock.now());
+        assertEquals(Duration.ofMillis(-500), clock.ofUnix(9_500));
+        clock.startWas(Duration.ofMillis(100));
+        assertEquals(Duration.ofMillis(100), clock.now());
+        assertEquals(Duration.ofMillis(98), clock.ofUnix(10_000));
+    }
+
+    /** A late loop runs what is due in the order in which it was due, and what repeats runs once. */
+    @Example
+    void afterAStallTimersRunInOrderAndRepeatingOnesOnce() throws IOException {
+        AtomicLong nanos = new AtomicLong();
+        Loop loop = new Loop(new Clock(Instant.EPOCH, nanos::get), failures::add);
+        List<String> ran = new ArrayList<>();
+        loop.in(Duration.ofMillis(30), () -> ran.add("b"));
+        loop.in(Duration.ofMillis(20), () -> ran.add("a"));
+        Loop.Timer off = loop.in(Duration.ofMillis(25), () -> ran.add("off"));
+        loop.every(Duration.ofMillis(10), () -> ran.add("tick"));
+        off.callOff();
+        loop.execute(() -> {
+            throw new IllegalStateException("on purpose");
+        });
+        loop.execute(() -> nanos.addAndGet(500_000_000));
+        loop.after(() -> {
+            if (ran.contains("b")) {
+                loop.stop();
+            }
+        });
+        loop.run();
+        assertEquals(List.of("tick", "tick", "a", "b"), ran);
+        assertEquals(1, failures.size());
+    }
+
+    private Ends connectTo(int port, Loop loop, boolean fails) throws IOException {
+        Ends ends = new Ends(loop, fails);
+        Connection.to(loop, new InetSocketAddress("127.0.0.1", port), ends, 64, 1024, Duration.ofSeconds(5));
+        loop.run();
+        return ends;
+    }
+
+    @Example
+    void aConnectionEndsOnceAndInItsOwnWay() throws IOException {
+        int closed;
+        try (ServerSocket server = new ServerSocket(0)) {
+            closed = server.getLocalPort();
+        }
+        Ends refused = connectTo(closed, loop(), false);
+        assertEquals(List.of(Ended.REFUSED), refused.heard);
+        assertTrue(Ended.REFUSED.ofCall().provesUnrun() && !Ended.BROKEN.ofCall().provesUnrun()
+                && Ended.CLOSED_THERE.ofCall() == Ending.CUT_OFF);
+        for (boolean fails : new boolean[] {false, true}) {
+            try (ServerSocket server = new ServerSocket(0)) {
+                Thread other = new Thread(() -> {
+                    try (Socket socket = server.accept()) {
+                        socket.getOutputStream().write(1);
+                    } catch (IOException e) {
+                        failures.add(e);
+                    }
+                });
+                other.start();
+                Ends ends = connectTo(server.getLocalPort(), loop(), fails);
+                assertEquals(List.of(fails ? Ended.FAILED : Ended.CLOSED_THERE), ends.heard);
+                assertEquals(fails ? 1 : 0, failures.size());
+            }
+        }
+    }
+
+    /** What the other side does not take is bounded. */
+    @Example
+    void tooMuchThatWaitsEndsTheConnection() throws IOException {
+        try (ServerSocket server = new ServerSocket(0)) {
+            Loop loop = loop();
+            Ends ends = new Ends(loop, false);
+            Connection connection = Connection.to(loop, server.getLocalSocketAddress(), ends, 64, 1024,
+                    Duration.ofSeconds(5));
+            loop.execute(() -> connection.write(ByteBuffer.allocate(1000), ByteBuffer.allocate(30)));
+            loop.run();
+            assertEquals(List.of(Ended.OVERFULL), ends.heard);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/records/ReplyTest.java
@@ -0,0 +1,62 @@
+package merlinlever.records;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import merlinlever.Ending;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class ReplyTest {
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    @Example
+    void eachWordHasItsEndingAndOnlySomeProveThatNothingRan() throws Reply.Malformed {
+        String[] words = {"DONE 0\r\n", "WAIT", "ERROR", "PAST", "EMPTY"};
+        Ending[] endings = {Ending.OK, Ending.TURNED_AWAY, Ending.ERROR, Ending.GIVEN_UP, Ending.NEVER_BEGUN};
+        for (int i = 0; i < words.length; i++) {
+            byte[] bytes = ascii("9b1f03aa5c7e2d41 " + words[i] + "\r\n");
+            Reply reply = Reply.read(bytes, 0, bytes.length);
+            assertEquals(endings[i], reply.ending());
+            assertEquals(bytes.length, reply.end());
+            assertEquals(words[i].equals("WAIT") || words[i].equals("EMPTY"), reply.ending().provesUnrun());
+        }
+    }
+
+    @Property(tries = 200, seed = "46")
+    void aReplyIsReadOnceItIsWhole(@ForAll byte[] body) throws Reply.Malformed {
+        byte[] head = ascii("9b1f03aa5c7e2d41 DONE " + body.length + "\r\n");
+        byte[] all = new byte[head.length + body.length + 5];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        System.arraycopy(ascii("\r\nabc"), 0, all, head.length + body.length, 5);
+        int whole = all.length - 3;
+        for (int limit = 0; limit <= all.length; limit++) {
+            Reply reply = Reply.read(all, 0, limit);
+            if (limit < whole) {
+                assertNull(reply);
+            } else {
+                assertArrayEquals(body, reply.body());
+                assertEquals(whole, reply.end());
+            }
+        }
+    }
+
+    @Example
+    void whatIsNoReplyIsMalformed() {
+        for (String bad : new String[] {"x", "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d41 GONE", "9b1f03aa5c7e2d41 DONE -1",
+            "9b1f03aa5c7e2d41 DONE 99999", "9b1f03aa5c7e2d41 DONE 1 2", "9b1f03aa5c7e2d41 DONE 1\r\nabc", "a".repeat(200)}) {
+            byte[] bytes = ascii(bad + "\r\n");
+            assertThrows(Reply.Malformed.class, () -> Reply.read(bytes, 0, bytes.length), bad);
+        }
+        byte[] endless = ascii("a".repeat(200));
+        assertThrows(Reply.Malformed.class, () -> Reply.read(endless, 0, endless.length));
+    }
+}
