--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -16,8 +16,8 @@
  * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why).
  *
  * <p>How it is called: the adapter makes one for each life of a server, handing over what is stated at start.
- * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); what happens later is
- * a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
+ * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); what happens later
+ * is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
  * {@link #settle} returns what was decided ({@link Settled}) and when to look again. Times are spans since
  * the start. Nothing is shared between instances.
  */
@@ -57,8 +57,8 @@
     private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
     // Completions that the capacity is learned from, at the most, before their weight is halved.
     private static final double ENOUGH = 32;
-    // Callers a core from which on idle connections are closed early; what the time to close changes by ten times a
-    // second, with a core free and with none.
+    // Callers a core from which on idle connections are closed early; what the time to close changes by ten
+    // times a second, with a core free and with none.
     private static final double MANY = 16;
     private static final double SOONER = 0.94;
     private static final double LATER = 1.02;
@@ -78,11 +78,11 @@
                 total /= 2;
                 Arrays.setAll(bins, i -> bins[i] / 2);
             }
-            mean = IntStream.range(0, bins.length).mapToDouble(i -> bins[i] * Math.pow(1.5, i + 0.5)).sum() / total;
+            mean = IntStream.range(0, 32).mapToDouble(i -> bins[i] * Math.pow(1.5, i + 0.5)).sum() / total;
         }
     }
 
-    /** That an operation is in the table until then, unless its entry has been renewed or struck since. */
+    /** That an operation is known until then, in the table unless its entry was renewed or struck since. */
     private record Entry(Op op, Duration until) {
     }
 
@@ -121,7 +121,7 @@
         Phase phase = Phase.HELD;
         boolean answered, ran, halting, calledAgain;
         Ending end;
-        Duration startedAt, over, keptUntil;
+        Duration startedAt, keptUntil;
         Op original;
         final List<Op> followers = new ArrayList<>(0);
 
@@ -247,7 +247,7 @@
 
     private Settled next = new Settled();
     private final List<Op> hand = new ArrayList<>();
-    private final ArrayDeque<Op> past = new ArrayDeque<>();
+    private final ArrayDeque<Entry> past = new ArrayDeque<>();
     private final PriorityQueue<Entry> table = new PriorityQueue<>(Comparator.comparing(Entry::until));
     private int held, onCores, atCalls, calling;
     private final double mostCalls, callsOverMs;
@@ -365,9 +365,9 @@
     }
 
     /**
-     * The hold's capacity: the last completions over the busy time that they took, for one soft-limit span of all
-     * cores, or a quiet server would take its few arrivals for all that it can do; never under the core count.
-     * They reach further back than a span where fewer than half of ENOUGH end in one, as on two cores.
+     * The hold's capacity: the last completions over the busy time that they took, for one soft-limit span of
+     * all cores, or a quiet server would take its few arrivals for all that it can do; never under the core
+     * count. They reach further back than a span where fewer than half of ENOUGH end in one, as on two cores.
      */
     private double capacity() {
         return Math.max(cores, done < 1 ? 0 : done * cores * ms(span) / worked);
@@ -413,8 +413,12 @@
             return;
         }
         move(op, Phase.OVER);
-        op.over = now;
-        past.add(op);
+        // Nothing names again what never ran; kept, a flood of pushbacks would fill the process's memory.
+        if (op.ran) {
+            past.add(new Entry(op, now.plus(op.tariff.window).plus(LONGEST_UNREAD)));
+        } else {
+            next.released.add(op);
+        }
         promote(op, now);
         if (!op.ran || op.sharable && op.end != Ending.OK) {
             forget(op);
@@ -490,8 +494,7 @@
 
     /** Rule 4: whether there is memory for the operation and for what has to be remembered of it. */
     private boolean roomFor(Op op) {
-        boolean remembered = op.tariff.kind == Kind.FINGERPRINTED || op.sharable;
-        return fits(remembered ? fingerprintKb : 0);
+        return fits(op.tariff.kind == Kind.FINGERPRINTED || op.sharable ? fingerprintKb : 0);
     }
 
     private boolean fits(double moreKb) {
@@ -590,29 +593,29 @@
     }
 
     private void arrive(Op op, Duration now) {
-        // What waits unread waits as well: its time beyond the quickest reading counts as that part of the span.
+        // What waits unread waits too: its time beyond the quickest reading counts as that part of the span.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
         if (op.tenant >= 0 && !op.again) {
             tenantTries[op.tenant]++;
         }
-        // Neither the arrival itself nor what free cores take at once is waiting: on two cores either alone was
-        // over min_th, and an idle server refused its next arrival.
+        // Neither the arrival itself nor what free cores take at once is waiting: on two cores either alone
+        // was over min_th, and an idle server refused its next arrival.
         double waiting = Math.max(0, held - 1 - Math.max(0, cores - onCores)) / capacity();
         double q = waiting + (unread - quickestRead) / ms(span);
         avgAt = now;
         avg = (1 - W_Q) * avg + W_Q * q;
         Tariff t = op.tariff;
         // Rule 3: what came after the grace is not run; near the stop nothing more is begun.
-        boolean leaving = pastGrace(op) || stopAt != null && reached(now.plus(op.usualRun()).plus(LOOK), stopAt);
+        Duration ends = now.plus(op.usualRun());
+        boolean leaving = pastGrace(op) || stopAt != null && reached(ends.plus(LOOK), stopAt);
         if (leaving || hung || !roomFor(op)) {
             pushBack(op, now, false, leaving || hung ? longestStayAway : Duration.ZERO);
             return;
         }
         boolean dear = quickestRead > DEAR * cores * ms(span) / capacity();
         // Work that cannot make its soft limit is waste.
-        Duration wait = millis(waiting * ms(span));
-        if (onCores >= cores && reached(now.plus(wait).plus(op.usualRun()), op.soft)) {
+        if (onCores >= cores && reached(ends.plus(millis(waiting * ms(span))), op.soft)) {
             pushBack(op, now, op.again || dear, longestStayAway);
         } else if (refuses(op)) {
             count = 0;
@@ -761,9 +764,8 @@
                 strike(entry.op);
             }
         }
-        while (!past.isEmpty() && reached(now, past.peek().over.plus(past.peek().tariff.window)
-                .plus(LONGEST_UNREAD))) {
-            next.released.add(past.poll());
+        while (!past.isEmpty() && reached(now, past.peek().until)) {
+            next.released.add(past.poll().op);
         }
     }
 
@@ -800,9 +802,9 @@
         }
         levelAt = now.plusMillis(100);
         double pressure = reached(now, avgAt.plusMillis(300)) ? held / capacity() : avg;
-        // Where callers are many, idle connections fill the table, take capacity and leave no room for the next
-        // caller; each new one costs work, and a full table turns callers away at no cost. So they are closed
-        // the sooner the more often a core is free, and kept while the cores are full.
+        // Where callers are many, idle connections fill the table, take capacity and leave no room for the
+        // next caller; each new one costs work, and a full table turns callers away at no cost. So they are
+        // closed the sooner the more often a core is free, and kept while the cores are full.
         if (callers > MANY * cores) {
             double wanted = closeIdleMs * (runQueue < cores ? SOONER : LATER);
             closeIdleMs = Math.max(idleMs / 30, Math.min(idleMs, wanted));
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -78,6 +78,11 @@
         return inHand;
     }
 
+    /** Operations that something may still name. */
+    int known() {
+        return byId.size();
+    }
+
     /** Whether the agent is up and the module calls this server healthy. */
     public boolean healthy() {
         return conductor != null && healthy;
--- a/src/test/java/merlinlever/core/BackendTest.java
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -245,6 +245,18 @@
         assertEquals("satisfied r0", around.answer(around.take("buy", "t0", "a")));
     }
 
+    /** In a flood of pushbacks what was pushed back is let go of; only a run is remembered. */
+    @Example
+    void whatWasPushedBackIsNotHeldOnTo() {
+        Around around = new Around();
+        around.take("look", null, "a");
+        around.backend.leave(around.now, around.now.plusMillis(10));
+        for (int i = 0; i < 1000; i++) {
+            around.take("buy", "t" + i, "a");
+        }
+        assertEquals(1, around.backend.known());
+    }
+
     @Example
     void readsOfASubjectShareAFreshAnswerWhereThatIsAllowed() {
         Around around = new Around(Map.of("server.fresh-for", "1000"));
