--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -29,7 +29,7 @@
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
     /** Descriptors that are not for edge nodes: the parties' links, files of the runtime. */
-    private static final int OTHER_DESCRIPTORS = 64;
+    private static final int OTHER_DESCRIPTORS = 24;
 
     /** What cannot be started with; its message is for the person at the console. */
     public static final class Unusable extends Exception {
--- a/src/main/java/merlinlever/json/Json.java
+++ b/src/main/java/merlinlever/json/Json.java
@@ -194,21 +194,45 @@
 
     private Object number() throws Malformed {
         int start = at;
-        while (at < text.length() && "+-0123456789.eE".indexOf(text.charAt(at)) >= 0) {
-            at++;
+        skip('-');
+        int whole = at;
+        digits();
+        boolean plain = at - whole < 19;
+        if (at - whole > 1 && text.charAt(whole) == '0') {
+            throw fault("a leading zero");
         }
-        String digits = text.substring(start, at);
-        try {
-            if (digits.matches("-?(0|[1-9][0-9]{0,17})")) {
-                return Long.parseLong(digits);
-            }
-            if (digits.matches("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")) {
-                return Double.parseDouble(digits);
+        if (skip('.')) {
+            plain = false;
+            digits();
+        }
+        if (skip('e') || skip('E')) {
+            plain = false;
+            if (!skip('+')) {
+                skip('-');
             }
-        } catch (NumberFormatException e) {
-            throw fault("not a number");
+            digits();
+        }
+        String number = text.substring(start, at);
+        if (plain) {
+            return Long.parseLong(number);
+        }
+        return Double.parseDouble(number);
+    }
+
+    private boolean skip(char c) {
+        boolean there = at < text.length() && text.charAt(at) == c;
+        at += there ? 1 : 0;
+        return there;
+    }
+
+    private void digits() throws Malformed {
+        int start = at;
+        while (at < text.length() && text.charAt(at) >= '0' && text.charAt(at) <= '9') {
+            at++;
+        }
+        if (at == start) {
+            throw fault("no digit");
         }
-        throw fault("not a number");
     }
 
     /** The text as a JSON string. */
--- a/src/main/java/merlinlever/records/Reply.java
+++ b/src/main/java/merlinlever/records/Reply.java
@@ -36,17 +36,18 @@
             return null;
         }
         String[] parts = new String(bytes, start, at - start, StandardCharsets.ISO_8859_1).split(" ");
-        if (parts.length < 2 || parts.length > 3 || !parts[0].matches("[0-9a-fA-F]{16}")) {
+        if (parts.length < 2 || parts.length > 3 || parts[0].length() != 16) {
             throw new Malformed("no reply: " + String.join(" ", parts));
         }
         int bodyAt = at + 2;
         int length = 0;
         int end = bodyAt;
         if (parts.length == 3) {
-            if (!parts[2].matches("[0-9]{1,5}") || Integer.parseInt(parts[2]) > LONGEST_BODY) {
+            long stated = number(parts[2], 10);
+            if (stated < 0 || stated > LONGEST_BODY) {
                 throw new Malformed("no length: " + parts[2]);
             }
-            length = Integer.parseInt(parts[2]);
+            length = (int) stated;
             end = bodyAt + length + 2;
             if (end > limit) {
                 return null;
@@ -55,10 +56,18 @@
                 throw new Malformed("a body without its end");
             }
         }
-        return new Reply(Long.parseUnsignedLong(parts[0], 16), ending(parts[1]),
+        return new Reply(number(parts[0], 16), ending(parts[1]),
                 Arrays.copyOfRange(bytes, bodyAt, bodyAt + length), end);
     }
 
+    private static long number(String digits, int radix) throws Malformed {
+        try {
+            return Long.parseUnsignedLong(digits, radix);
+        } catch (NumberFormatException e) {
+            throw new Malformed("no number: " + digits);
+        }
+    }
+
     private static Ending ending(String word) throws Malformed {
         return switch (word) {
             case "DONE" -> Ending.OK;
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -61,7 +61,7 @@
     private void startUp() throws IOException {
         start("{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"agent\":\"127.0.0.1:" + agents.getLocalPort()
                 + "\",\"lookup\":\"127.0.0.1:" + directory.getLocalPort() + "\",\"records\":\"127.0.0.1:"
-                + records.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":8000,\"limits\":{\"sockets\":80},"
+                + records.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":8000,\"limits\":{\"sockets\":40},"
                 + "\"settings\":{\"family-info\":{\"n-cores\":4,\"memory-kb\":90000,\"gauges\":[\"runnable\"],"
                 + "\"halt\":\"drop\",\"calls-by-class\":[true,true],\"kb-per-key\":10},\"invariants\":{"
                 + "\"drain-grace\":100,\"overload-factor\":8},\"services\":[{\"name\":\"look\",\"semantics\":\"repeatable\","
