Replace links that fall silent; count the grace from the signal, ages from the process's start

Read through for what a trouble could break: a rebased clock would have closed what was idle before the agent's greeting; the grace was counted from when the loop heard of the signal; an agent or records link that takes bytes and says nothing was waited on for ever.

--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -24,6 +24,8 @@
     private static final Duration FIRST_PAUSE = Duration.ofMillis(20);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(500);
     private static final Duration CONNECT = Duration.ofSeconds(2);
+    private static final Duration CHECK = Duration.ofMillis(500);
+    private static final int CHECKS = 6;
     private static final Duration EXERCISE = Duration.ofSeconds(1);
 
     private final Loop loop;
@@ -37,6 +39,8 @@
     private int seen;
     private String exercise, caughtUp;
     private Loop.Timer exerciseLimit;
+    private Duration lastHeard = Duration.ZERO;
+    private int unanswered;
 
     public AgentLink(Loop loop, InetSocketAddress address, Backend backend, Log log) {
         this.loop = loop;
@@ -45,7 +49,21 @@
         this.log = log;
     }
 
-    public void connect() {
+    public void start() {
+        connect();
+        loop.every(CHECK, this::checkThatItAnswers);
+    }
+
+    /** A link on which questions stay unanswered for so many checks is made anew; a stall of ours is one check. */
+    private void checkThatItAnswers() {
+        unanswered = greeted && sampling ? unanswered + 1 : 0;
+        if (unanswered >= CHECKS) {
+            connection.end(Ended.SLOW);
+        }
+    }
+
+    private void connect() {
+        unanswered = 0;
         greeted = false;
         sampling = false;
         seen = 0;
@@ -70,13 +88,14 @@
         if (greeted) {
             log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
             greeted = false;
-            backend.linkLost(loop.clock().now());
+            backend.linkLost(lastHeard);
         }
         exerciseOver();
         again();
     }
 
     @Override public void read(ByteBuffer in) {
+        lastHeard = loop.clock().now();
         byte[] bytes = in.array();
         int start = in.position();
         for (int at = start + seen; at < in.limit() && connection.ended() == null; at++) {
@@ -172,6 +191,7 @@
             backend.caughtUp();
         } else {
             sampling = false;
+            unanswered = 0;
         }
         backend.gauges(loop.clock().now(), notice.row());
     }
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -19,6 +19,7 @@
 import merlinlever.json.Json;
 import merlinlever.log.Log;
 import merlinlever.net.Clock;
+import merlinlever.net.Ended;
 import merlinlever.net.Loop;
 import merlinlever.records.RecordsLink;
 
@@ -28,6 +29,8 @@
     private static final Duration REPORT = Duration.ofSeconds(1);
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
+    /** The signal may take so long to get to the loop; the grace counts from the signal. */
+    private static final Duration SIGNAL = Duration.ofMillis(100);
     /** Descriptors that are not for edge nodes: the parties' links, files of the runtime. */
     private static final int OTHER_DESCRIPTORS = 24;
 
@@ -77,10 +80,12 @@
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
         }
-        agent.connect();
+        agent.start();
+        // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
+        boolean listFollows = Boolean.parseBoolean(given.get("server.readiness"));
         loop.every(REPORT, () -> {
-            if (!backend.leaving()) {
-                reports.report(!backend.started() || backend.healthy());
+            if (!backend.leaving() || listFollows) {
+                reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
             }
         });
     }
@@ -128,8 +133,11 @@
             Serve serve = new Serve(configuration(environment), log);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> serve.leaveAndWait()));
             log.info("listening on " + serve.edge.address());
-            serve.loop.run();
-            serve.over.countDown();
+            try {
+                serve.loop.run();
+            } finally {
+                serve.over.countDown();
+            }
             return 0;
         } catch (Unusable | IOException e) {
             System.err.println("merlinlever: " + e.getMessage());
@@ -150,7 +158,7 @@
     private void leave() {
         Duration stop = stopAfter.minus(LAST_WRITES);
         Duration grace = Duration.ofMillis((long) Double.parseDouble(given.getOrDefault("rules.drain-grace", "0")));
-        backend.leave(clock.now(), clock.now().plus(stop));
+        backend.leave(clock.now().minus(SIGNAL), clock.now().plus(stop));
         // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
             edge.close();
@@ -194,8 +202,7 @@
 
     @Override public void call(Work work, Duration giveUpAfter) {
         if (records == null) {
-            loop.execute(() -> backend.callEnded(clock.now(), Long.parseUnsignedLong(work.name(), 16),
-                    merlinlever.Ending.UNREACHABLE, null));
+            loop.execute(() -> backend.callEnded(clock.now(), work.id(), Ended.NOT_MADE.ofCall(), null));
         } else {
             records.call(work, giveUpAfter);
         }
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -23,7 +23,7 @@
 
     /** The most fingerprints, with bodies and results, that the memory of this process is planned for. */
     private static final int MOST_KEPT = 4000;
-    /** A reply that left so shortly before its link was lost may not have got through. */
+    /** A reply that left so shortly before its link was last heard may not have got through. */
     private static final Duration IN_TRANSIT = Duration.ofMillis(20);
 
     private final Map<String, String> given;
@@ -37,7 +37,7 @@
     private final boolean subjects;
     private Conductor<Work> conductor;
     private Duration now = Duration.ZERO;
-    private Duration linkLostAt, linkBackAt;
+    private Duration doubtfulFrom, linkBackAt;
     private boolean touched, healthy, leaving, exercising;
     private double level = Double.NaN;
     private int inHand;
@@ -105,6 +105,9 @@
 
     /** The agent is up; times count from its start. */
     public void started(Duration now, boolean cold) {
+        if (leaving) {
+            return;
+        }
         this.now = now;
         given.put("server.cold", "" + cold);
         conductor = new Conductor<>(given, seed, this);
@@ -240,10 +243,10 @@
         }
     }
 
-    /** The link to the agent is lost: runs go on, what was just sent may not have got there. */
-    public void linkLost(Duration now) {
-        if (linkLostAt == null) {
-            linkLostAt = now;
+    /** The link to the agent is lost: runs go on, what was sent since it was last heard may not have got there. */
+    public void linkLost(Duration lastHeard) {
+        if (doubtfulFrom == null) {
+            doubtfulFrom = lastHeard.minus(IN_TRANSIT);
         }
         exercised(false);
     }
@@ -255,11 +258,11 @@
 
     /** All notices of the time without a link have been read: what may not have got there is sent again. */
     public void caughtUp() {
-        if (linkLostAt == null) {
+        if (doubtfulFrom == null) {
             return;
         }
-        Duration doubtful = linkLostAt.minus(IN_TRANSIT);
-        linkLostAt = null;
+        Duration doubtful = doubtfulFrom;
+        doubtfulFrom = null;
         for (Work work : byId.values()) {
             if (!work.launched || work.end != null) {
                 continue;
--- a/src/main/java/merlinlever/core/Work.java
+++ b/src/main/java/merlinlever/core/Work.java
@@ -44,6 +44,10 @@
         return name;
     }
 
+    public long id() {
+        return id;
+    }
+
     public String tariffName() {
         return tariffName;
     }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -116,7 +116,7 @@
 
     void now(EdgeConnection edge, EdgeConnection.State state) {
         since.values().forEach(some -> some.remove(edge));
-        since.get(state).put(edge, loop.clock().now());
+        since.get(state).put(edge, loop.clock().uptime());
     }
 
     void gone(EdgeConnection edge) {
@@ -139,7 +139,7 @@
     }
 
     private void endAll(EdgeConnection.State state, Duration older, Ended how) {
-        Duration now = loop.clock().now();
+        Duration now = loop.clock().uptime();
         LinkedHashMap<EdgeConnection, Duration> some = since.get(state);
         while (!some.isEmpty()) {
             Map.Entry<EdgeConnection, Duration> oldest = some.entrySet().iterator().next();
--- a/src/main/java/merlinlever/net/Clock.java
+++ b/src/main/java/merlinlever/net/Clock.java
@@ -31,6 +31,11 @@
         start = nanos.getAsLong() - ago.toNanos();
     }
 
+    /** Since this clock was made, whatever else spans count from. */
+    public Duration uptime() {
+        return Duration.ofNanos(nanos.getAsLong() - readAt);
+    }
+
     public Duration now() {
         return Duration.ofNanos(nanos.getAsLong() - start);
     }
--- a/src/main/java/merlinlever/records/RecordsLink.java
+++ b/src/main/java/merlinlever/records/RecordsLink.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import merlinlever.Ending;
 import merlinlever.core.Backend;
 import merlinlever.core.Work;
 import merlinlever.log.Log;
@@ -23,27 +22,34 @@
     private static final Duration CONNECT = Duration.ofSeconds(2);
     /** The service closes after 10 s; a call that crosses that would be cut off. */
     private static final Duration IDLE = Duration.ofSeconds(8);
+    private static final Duration WATCH = Duration.ofMillis(500);
+    /** A connection that says nothing for so long while calls wait is not given more of them. */
+    private static final Duration SILENT = Duration.ofSeconds(2);
 
     private final Loop loop;
     private final InetSocketAddress address;
     private final Backend backend;
     private final Log log;
+    /** The calls in hand, and the connection that each is on. */
+    private final Map<Long, Line> calls = new LinkedHashMap<>();
     private Line line;
 
-    /** One connection, with the calls in hand on it. */
+    /** One connection. */
     private final class Line implements Connection.User {
-        private final Map<Long, Work> inHand = new LinkedHashMap<>();
         private Connection connection;
-        private Duration used;
+        private int inHand;
+        /** When it last said something, or was given a call with none in hand. */
+        private Duration used = loop.clock().uptime();
 
         @Override public void read(ByteBuffer in) {
             try {
                 Reply reply = Reply.read(in.array(), in.position(), in.limit());
                 while (reply != null) {
                     in.position(reply.end());
-                    used = loop.clock().now();
-                    if (inHand.remove(reply.id()) != null) {
-                        backend.callEnded(used, reply.id(), reply.ending(), reply.body());
+                    used = loop.clock().uptime();
+                    if (calls.get(reply.id()) == this) {
+                        over(reply.id());
+                        backend.callEnded(loop.clock().now(), reply.id(), reply.ending(), reply.body());
                     }
                     reply = Reply.read(in.array(), in.position(), in.limit());
                 }
@@ -57,25 +63,23 @@
             if (line == this) {
                 line = null;
             }
-            if (!inHand.isEmpty()) {
-                log.warn("connection to the records service over: " + how + ", " + inHand.size() + " calls in hand");
+            if (inHand > 0) {
+                log.warn("connection to the records service over: " + how + ", " + inHand + " calls in hand");
+                List<Long> ids = calls.keySet().stream().filter(id -> calls.get(id) == this).toList();
+                ids.forEach(RecordsLink.this::over);
+                ids.forEach(id -> backend.callEnded(loop.clock().now(), id, how.ofCall(), null));
             }
-            // One may be made again while these are told.
-            List.copyOf(inHand.keySet()).forEach(id ->
-                    backend.callEnded(loop.clock().now(), id, how.ofCall(), null));
         }
 
-        void watch() {
-            Duration left = used.plus(IDLE).minus(loop.clock().now());
-            if (connection.ended() != null) {
-                return;
-            }
-            if (!inHand.isEmpty()) {
-                loop.in(IDLE, this::watch);
-            } else if (left.isNegative() || left.isZero()) {
+        private boolean silent(Duration since) {
+            return used.plus(since).compareTo(loop.clock().uptime()) <= 0;
+        }
+
+        private void watch() {
+            if (connection.ended() == null && inHand == 0 && silent(IDLE)) {
                 connection.end(Ended.IDLE);
-            } else {
-                loop.in(left, this::watch);
+            } else if (connection.ended() == null) {
+                loop.in(WATCH, this::watch);
             }
         }
     }
@@ -88,32 +92,46 @@
     }
 
     public void call(Work work, Duration giveUpAfter) {
-        byte[] body = work.callBody();
-        long id = Long.parseUnsignedLong(work.name(), 16);
-        if (line == null) {
-            Line made = new Line();
-            made.used = loop.clock().now();
-            try {
+        if (line != null && line.inHand > 0 && line.silent(SILENT)) {
+            log.warn("records service silent, " + line.inHand + " calls in hand: another connection");
+            line = null;
+        }
+        try {
+            if (line == null) {
+                Line made = new Line();
                 made.connection = Connection.to(loop, address, made, Reply.LONGEST_LINE + Reply.LONGEST_BODY + 4,
                         MOST_QUEUED, CONNECT);
-            } catch (IOException e) {
-                log.error("no channel to the records service", e);
-                loop.execute(() -> backend.callEnded(loop.clock().now(), id, Ending.UNREACHABLE, null));
-                return;
+                line = made;
+                made.watch();
             }
-            line = made;
-            made.watch();
+        } catch (IOException e) {
+            log.error("no channel to the records service", e);
+            loop.execute(() -> backend.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
+            return;
         }
-        line.used = loop.clock().now();
-        line.inHand.put(id, work);
+        if (line.inHand++ == 0) {
+            line.used = loop.clock().uptime();
+        }
+        calls.put(work.id(), line);
+        byte[] body = work.callBody();
         line.connection.write(ascii("OP " + work.name() + " " + Math.max(1, giveUpAfter.toMillis()) + " "
                 + body.length + "\r\n"), ByteBuffer.wrap(body), ascii("\r\n"));
     }
 
     public void giveUp(Work work) {
-        if (line != null && line.inHand.remove(Long.parseUnsignedLong(work.name(), 16)) != null) {
-            line.connection.write(ascii("UNOP " + work.name() + "\r\n"));
+        Line its = over(work.id());
+        if (its != null) {
+            its.connection.write(ascii("UNOP " + work.name() + "\r\n"));
+        }
+    }
+
+    /** The call is in hand no longer; returns the connection that it was on, or null. */
+    private Line over(long id) {
+        Line its = calls.remove(id);
+        if (its != null) {
+            its.inHand--;
         }
+        return its;
     }
 
     private static ByteBuffer ascii(String text) {
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -276,15 +276,34 @@
         assertArrayEquals(new byte[] {7}, answer(edge).body());
     }
 
+    /** A party that takes what is written and says nothing: its connection is made anew, and not waited on for ever. */
+    @Example
+    void silentLinksAreReplaced() throws IOException {
+        startUp();
+        greet();
+        ask(operation("look", "", ""));
+        Map<?, ?> waiting = hear("launch");
+        tell("{\"cmd\":\"request\",\"offset\":1,\"req\":\"" + waiting.get("req") + "\",\"payload\":\"AQI=\"}");
+        record = records.accept();
+        assertTrue(recordsLine().startsWith("OP " + waiting.get("req")));
+        link(1);
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":70000}");
+        ask(operation("look", "", ""));
+        Map<?, ?> launch = hear("launch");
+        tell("{\"cmd\":\"request\",\"offset\":2,\"req\":\"" + launch.get("req") + "\",\"payload\":\"AQI=\"}");
+        record = records.accept();
+        assertTrue(recordsLine().startsWith("OP " + launch.get("req")));
+    }
+
     @Example
     void toldToLeaveItAnswersWhatItHasAndEnds() throws IOException, InterruptedException {
         startUp();
         greet();
         Socket edge = ask(operation("buy", "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "a"));
         Map<?, ?> launch = hear("launch");
+        Socket check = ask("GET /status/live HTTP/1.1\r\n\r\n");
         program.destroy();
         // Its health is bad from the notice on, and that is seen before anything else is told.
-        Socket check = ask("GET /status/live HTTP/1.1\r\n\r\n");
         while (answer(check).status() != 503) {
             ask(check, "GET /status/live HTTP/1.1\r\n\r\n");
         }
