Add to the gauge what was sent onto the cores after it was asked for

Seen by reading: the answer to a sample is a round trip old, and taking it as new forgot the launches and replies that left in between, so that now and then one run more than the gauge allows was begun.

--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -192,8 +192,8 @@
         } else {
             sampling = false;
             unanswered = 0;
+            backend.gauges(loop.clock().now(), notice.row());
         }
-        backend.gauges(loop.clock().now(), notice.row());
     }
 
     private void exerciseOver() {
@@ -237,11 +237,13 @@
     }
 
     /** One at a time. */
-    public void sample() {
-        if (greeted && !sampling) {
+    public boolean sample() {
+        boolean asks = greeted && !sampling;
+        if (asks) {
             sampling = true;
             send("{\"cmd\":\"sample\",\"token\":\"s" + tokens++ + "\"}\n");
         }
+        return asks;
     }
 
     public void exercise() {
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -192,8 +192,8 @@
         agent.forgo(work);
     }
 
-    @Override public void sample() {
-        agent.sample();
+    @Override public boolean sample() {
+        return agent.sample();
     }
 
     @Override public void exercise() {
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -35,18 +35,22 @@
     private final List<Runnable> afterwards = new ArrayList<>();
     private final List<Consumer<Boolean>> checks = new ArrayList<>();
     private final boolean subjects;
+    private final int runQueueAt;
     private Conductor<Work> conductor;
     private Duration now = Duration.ZERO;
     private Duration doubtfulFrom, linkBackAt;
     private boolean touched, healthy, leaving, exercising;
     private double level = Double.NaN;
     private int inHand;
+    /** Runs that were sent onto the cores since the agent was last asked for its gauges. */
+    private int ontoCores;
 
     public Backend(Map<String, String> given, long seed, Outside outside) {
         this.given = new HashMap<>(given);
         this.seed = seed;
         this.outside = outside;
         tariffs = Conductor.indices(given, "tariffs");
+        runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
         subjects = positive(given.get("server.fresh-for"));
         // A limit of this process, in the terms that the module knows: it turns away what it cannot remember.
         this.given.compute("server.kb-per-fingerprint", (name, stated) -> "" + Math.max(
@@ -209,16 +213,22 @@
             work.callBody = null;
             work.reply = reply;
             work.repliedAt = now;
+            ontoCores++;
             outside.deliver(work, reply);
         }
         work.handle.callEnded(now, how, now.minus(work.calledAt));
     }
 
     public void gauges(Duration now, double[] gauges) {
-        if (conductor != null) {
-            touch(now);
-            conductor.control().look(now, gauges);
+        if (conductor == null) {
+            return;
         }
+        touch(now);
+        // The agent reads its commands in order: what was sent after the question is not in the answer.
+        if (runQueueAt >= 0 && runQueueAt < gauges.length) {
+            gauges[runQueueAt] += ontoCores;
+        }
+        conductor.control().look(now, gauges);
     }
 
     public void exercised(boolean good) {
@@ -231,7 +241,9 @@
     public void alarmed(Duration now) {
         touch(now);
         conductor.alarmed();
-        outside.sample();
+        if (outside.sample()) {
+            ontoCores = 0;
+        }
     }
 
     /** The notice to leave. */
@@ -405,6 +417,7 @@
 
     @Override public void start(Work work) {
         work.launched = true;
+        ontoCores++;
         outside.launch(work);
     }
 
--- a/src/main/java/merlinlever/core/Outside.java
+++ b/src/main/java/merlinlever/core/Outside.java
@@ -17,8 +17,8 @@
     /** Its run goes on without the call. */
     void forgo(Work work);
 
-    /** Ask for the gauges; {@link Backend#gauges} brings them. */
-    void sample();
+    /** Ask for the gauges, if no such question is open; {@link Backend#gauges} brings them. Says whether it did. */
+    boolean sample();
 
     /** Do the work of a deep health check; {@link Backend#exercised} says how that went. */
     void exercise();
--- a/src/test/java/merlinlever/core/BackendTest.java
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -136,7 +136,8 @@
             asked.add("forgo " + work.name());
         }
 
-        @Override public void sample() {
+        @Override public boolean sample() {
+            return true;
         }
 
         @Override public void exercise() {
@@ -287,6 +288,21 @@
         }
     }
 
+    /** The gauge is a round trip old: it does not know what was sent onto the cores after it was asked for. */
+    @Example
+    void runsThatLeftAfterTheGaugeWasAskedForAreAddedToIt() {
+        Around around = new Around();
+        around.take("look", null, "a");
+        around.backend.alarmed(around.now);
+        around.take("look", null, "b");
+        around.take("look", null, "c");
+        // Asked for with one on the cores; with the two that followed and one more the four cores are full.
+        around.backend.gauges(around.now, new double[] {0, 1});
+        around.take("look", null, "d");
+        around.take("look", null, "e");
+        assertEquals(4, around.asked.size());
+    }
+
     @Example
     void aCallIsGivenUpWhenItsCallerGoesOrItsTimeIsOver() {
         Around around = new Around();
