--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -64,8 +64,9 @@
 
     // ---- what others ask
 
-    public boolean knowsTariff(String name) {
-        return tariffs.containsKey(name);
+    /** The index of the tariff, or -1. */
+    public int tariff(String name) {
+        return tariffs.getOrDefault(name, -1);
     }
 
     /** The value to send with every answer, or NaN. */
@@ -135,7 +136,7 @@
         touch(now);
         String mark = asked.token() != null ? "token " + asked.token()
                 : subjects && asked.subject() != null ? asked.tariff() + " " + asked.subject() : null;
-        int tariff = conductor.tariff(asked.tariff());
+        int tariff = tariff(asked.tariff());
         Work work = new Work(asked.id(), asked.name(), tariff, asked.tariff(), asked.arrival(), mark, asked.body(),
                 caller);
         byId.put(work.id, work);
--- a/src/main/java/merlinlever/core/Conductor.java
+++ b/src/main/java/merlinlever/core/Conductor.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import merlinlever.Control;
+import merlinlever.Ending;
 import merlinlever.Operation;
 import merlinlever.Settled;
 
@@ -14,13 +15,13 @@
 
     /** Stands for an operation of which nothing is known any more; what happens to it has no effect. */
     public static final Operation UNKNOWN = new Operation() {
-        @Override public void ended(Duration now, merlinlever.Ending how) {
+        @Override public void ended(Duration now, Ending how) {
         }
 
         @Override public void reachedCall(Duration now) {
         }
 
-        @Override public void callEnded(Duration now, merlinlever.Ending how, Duration took) {
+        @Override public void callEnded(Duration now, Ending how, Duration took) {
         }
 
         @Override public void callerGone(Duration now) {
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import merlinlever.core.Backend;
 import merlinlever.core.Caller;
 import merlinlever.core.Work;
@@ -97,8 +98,9 @@
         String path = head.path();
         if (path.equals(EdgeNodes.HEALTH)) {
             health();
-        } else if (path.startsWith(EdgeNodes.OPERATIONS) && owner.tariff(path) >= 0) {
-            operation(path, java.util.Arrays.copyOfRange(bytes, end, end + length));
+        } else if (path.startsWith(EdgeNodes.OPERATIONS)
+                && owner.backend().tariff(path.substring(EdgeNodes.OPERATIONS.length())) >= 0) {
+            operation(path.substring(EdgeNodes.OPERATIONS.length()), Arrays.copyOfRange(bytes, end, end + length));
         } else {
             answer(404, NOTHING, "");
         }
@@ -128,7 +130,7 @@
         }
     }
 
-    private void operation(String path, byte[] body) {
+    private void operation(String tariff, byte[] body) {
         if (!head.method().equals("POST")) {
             answer(405, NOTHING, "Allow: POST\r\n");
             return;
@@ -138,7 +140,7 @@
             answer(411, NOTHING, "");
             return;
         }
-        Backend.Asked operation = owner.asked(head, path, body);
+        Backend.Asked operation = owner.asked(head, tariff, body);
         if (operation == null) {
             answer(400, NOTHING, "");
             return;
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -32,7 +31,6 @@
     private final Backend backend;
     private final Fields fields;
     private final Listener listener;
-    private final Map<String, Integer> tariffs = new HashMap<>();
     private final Map<EdgeConnection.State, LinkedHashMap<EdgeConnection, Duration>> since =
             new EnumMap<>(EdgeConnection.State.class);
     private Duration closeIdle;
@@ -45,9 +43,6 @@
         this.loop = loop;
         this.backend = backend;
         fields = new Fields(given);
-        for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
-            tariffs.put(OPERATIONS + given.get("tariffs." + i + ".name"), i);
-        }
         for (EdgeConnection.State state : EdgeConnection.State.values()) {
             since.put(state, new LinkedHashMap<>());
         }
@@ -76,12 +71,9 @@
         return loop.clock();
     }
 
-    int tariff(String path) {
-        return tariffs.getOrDefault(path, -1);
-    }
-
-    Backend.Asked asked(Head head, String path, byte[] body) {
-        return fields.asked(head, path.substring(OPERATIONS.length()), tariff(path), body, loop.clock());
+    /** The operation that the message holds, or null. */
+    Backend.Asked asked(Head head, String tariff, byte[] body) {
+        return fields.asked(head, tariff, backend.tariff(tariff), body, loop.clock());
     }
 
     /** The field that goes with every answer, or nothing. */
--- a/src/main/java/merlinlever/http/Head.java
+++ b/src/main/java/merlinlever/http/Head.java
@@ -1,6 +1,8 @@
 package merlinlever.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
 
 /**
  * The head of one message from an edge node, read where it lies; the fields are places in the bytes until they are
@@ -48,7 +50,7 @@
     /** Reads the head between the places; returns 0, or the status that answers what is wrong with it. */
     int read(byte[] in, int start, int end) {
         bytes = in;
-        java.util.Arrays.fill(from, -1);
+        Arrays.fill(from, -1);
         length = -1;
         int line = lineEnd(start, end);
         if (!requestLine(start, line)) {
@@ -140,7 +142,7 @@
             if (named(field, start, colon)) {
                 int i = field.ordinal();
                 boolean again = from[i] >= 0;
-                boolean same = again && java.util.Arrays.equals(bytes, from[i], to[i], bytes, at, stop);
+                boolean same = again && Arrays.equals(bytes, from[i], to[i], bytes, at, stop);
                 from[i] = at;
                 to[i] = stop;
                 return !again || same;
@@ -195,7 +197,7 @@
 
     /** Whether the connection is not to be kept. */
     boolean closes() {
-        String said = has(Field.CONNECTION) ? text(Field.CONNECTION).toLowerCase(java.util.Locale.ROOT) : "";
+        String said = has(Field.CONNECTION) ? text(Field.CONNECTION).toLowerCase(Locale.ROOT) : "";
         return said.contains("close") || old && !said.contains("keep-alive");
     }
 
