--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -36,7 +36,7 @@
     private Duration pause = FIRST_PAUSE;
     private boolean greeted, sampling;
     private long lastRead, tokens;
-    private int seen;
+    private Lines lines;
     private String exercise, caughtUp;
     private Loop.Timer exerciseLimit;
     private Duration lastHeard = Duration.ZERO;
@@ -66,7 +66,7 @@
         unanswered = 0;
         greeted = false;
         sampling = false;
-        seen = 0;
+        lines = new Lines(LONGEST_LINE);
         try {
             connection = Connection.to(loop, address, this, LONGEST_LINE, MOST_QUEUED, CONNECT);
         } catch (IOException e) {
@@ -96,17 +96,7 @@
 
     @Override public void read(ByteBuffer in) {
         lastHeard = loop.clock().now();
-        byte[] bytes = in.array();
-        int start = in.position();
-        for (int at = start + seen; at < in.limit() && connection.ended() == null; at++) {
-            if (bytes[at] == '\n') {
-                line(new String(bytes, start, at - start, StandardCharsets.UTF_8));
-                start = at + 1;
-                in.position(start);
-            }
-        }
-        seen = in.remaining();
-        if (seen >= LONGEST_LINE) {
+        if (!lines.take(in, this::line)) {
             log.warn("a line of the agent is too long");
             connection.end(Ended.MALFORMED);
         }
--- /dev/null
+++ b/src/main/java/merlinlever/agent/Lines.java
@@ -0,0 +1,31 @@
+package merlinlever.agent;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** Cuts what is read into lines; the bytes of a line that is not whole are left, and not looked at twice. */
+final class Lines {
+
+    private final int longest;
+    private int seen;
+
+    Lines(int longest) {
+        this.longest = longest;
+    }
+
+    /** Hands over each whole line without its end; says whether what is left may still become one. */
+    boolean take(ByteBuffer in, Consumer<String> taker) {
+        byte[] bytes = in.array();
+        int start = in.position();
+        for (int at = start + seen; at < in.limit(); at++) {
+            if (bytes[at] == '\n') {
+                in.position(at + 1);
+                taker.accept(new String(bytes, start, at - start, StandardCharsets.UTF_8));
+                start = at + 1;
+            }
+        }
+        seen = in.remaining();
+        return seen < longest;
+    }
+}
--- a/src/test/java/merlinlever/agent/NoticeTest.java
+++ b/src/test/java/merlinlever/agent/NoticeTest.java
@@ -2,13 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import merlinlever.Ending;
 import merlinlever.json.Json;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 
 class NoticeTest {
 
@@ -23,6 +30,30 @@
         assertArrayEquals(new double[] {0.5, 3}, Notice.read("{\"cmd\":\"sampled\",\"token\":\"a\",\"load\":[0.5,3]}").row());
     }
 
+    @Property(tries = 200, seed = "47")
+    void linesAreTheSameWhereverTheBytesAreCut(@ForAll List<@IntRange(min = 1, max = 9) Integer> cuts) {
+        byte[] all = "one\n\n{\"two\":\"\u00e9\"}\nthr".getBytes(StandardCharsets.UTF_8);
+        ByteBuffer in = ByteBuffer.allocate(64);
+        Lines lines = new Lines(64);
+        List<String> heard = new ArrayList<>();
+        int sent = 0;
+        for (int i = 0; sent < all.length; i++) {
+            int part = Math.min(all.length - sent, i < cuts.size() ? cuts.get(i) : all.length);
+            in.put(all, sent, part);
+            sent += part;
+            in.flip();
+            assertTrue(lines.take(in, heard::add));
+            in.compact();
+        }
+        assertEquals(List.of("one", "", "{\"two\":\"\u00e9\"}"), heard);
+        assertEquals(3, in.position());
+    }
+
+    @Example
+    void aLineWithoutAnEndIsNotWaitedForWithoutBound() {
+        assertFalse(new Lines(16).take(ByteBuffer.wrap(new byte[16]), line -> { }));
+    }
+
     @Example
     void whatIsNoNoticeIsMalformed() {
         for (String bad : new String[] {"", "[]", "{\"req\":5}", "{\"req\":\"xyz\"}", "{\"payload\":\"?\"}",
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -278,9 +278,13 @@
 
     /** A party that takes what is written and says nothing: its connection is made anew, and not waited on for ever. */
     @Example
-    void silentLinksAreReplaced() throws IOException {
+    void whoFallsSilentIsNotWaitedOnForEver() throws IOException {
         startUp();
         greet();
+        Socket slow = ask("POST /svc/look HTTP/1.1\r\nReq-Id: ");
+        Socket check = ask("GET /status/live?real=1 HTTP/1.1\r\n\r\n");
+        hear("exercise");
+        assertEquals(503, answer(check).status());
         ask(operation("look", "", ""));
         Map<?, ?> waiting = hear("launch");
         tell("{\"cmd\":\"request\",\"offset\":1,\"req\":\"" + waiting.get("req") + "\",\"payload\":\"AQI=\"}");
@@ -293,6 +297,7 @@
         tell("{\"cmd\":\"request\",\"offset\":2,\"req\":\"" + launch.get("req") + "\",\"payload\":\"AQI=\"}");
         record = records.accept();
         assertTrue(recordsLine().startsWith("OP " + launch.get("req")));
+        assertEquals(-1, slow.getInputStream().read());
     }
 
     @Example
