One meaning of an end for its caller; settings that are no numbers end the start in one line

Read again as a whole: an enum column that was always true is gone, catches that only set fields say why they do nothing, and a setting that is no number was found only when the agent came up, over and over.

--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -79,6 +79,8 @@
             edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS));
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
+        } catch (NumberFormatException e) {
+            throw new Unusable("the settings hold what is no number: " + e.getMessage());
         }
         agent.start();
         // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
@@ -124,7 +126,12 @@
                 || Integer.parseInt(text.substring(colon + 1)) > 65535) {
             throw new Unusable("the configuration has no usable address under " + name);
         }
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress address = new InetSocketAddress(text.substring(0, colon),
+                Integer.parseInt(text.substring(colon + 1)));
+        if (address.isUnresolved()) {
+            throw new Unusable("the address under " + name + " is not known: " + text);
+        }
+        return address;
     }
 
     static int main(Map<String, String> environment) {
@@ -157,7 +164,7 @@
 
     private void leave() {
         Duration stop = stopAfter.minus(LAST_WRITES);
-        Duration grace = Duration.ofMillis((long) Double.parseDouble(given.getOrDefault("rules.drain-grace", "0")));
+        Duration grace = Duration.ofMillis((long) Stated.number(given, "rules.drain-grace", 0));
         backend.leave(clock.now().minus(SIGNAL), clock.now().plus(stop));
         // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import merlinlever.Control;
 import merlinlever.Ending;
 import merlinlever.Operation;
 
@@ -51,15 +52,13 @@
         this.outside = outside;
         tariffs = Conductor.indices(given, "tariffs");
         runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
-        subjects = positive(given.get("server.fresh-for"));
+        subjects = Stated.number(given, "server.fresh-for", 0) > 0;
         // A limit of this process, in the terms that the module knows: it turns away what it cannot remember.
-        this.given.compute("server.kb-per-fingerprint", (name, stated) -> "" + Math.max(
-                stated == null ? 0 : Double.parseDouble(stated),
-                Double.parseDouble(given.getOrDefault("server.memory-kb", "100000")) / MOST_KEPT));
-    }
-
-    private static boolean positive(String number) {
-        return number != null && Double.parseDouble(number) > 0;
+        double leastKb = Stated.number(given, "server.memory-kb", 100_000) / MOST_KEPT;
+        this.given.put("server.kb-per-fingerprint",
+                "" + Math.max(leastKb, Stated.number(given, "server.kb-per-fingerprint", 0)));
+        // What is stated badly is to be found now, and not when the agent is up.
+        new Control(this.given, seed);
     }
 
     // ---- what others ask
--- a/src/main/java/merlinlever/core/Repeats.java
+++ b/src/main/java/merlinlever/core/Repeats.java
@@ -58,8 +58,4 @@
             }
         }
     }
-
-    int size() {
-        return byMark.size();
-    }
 }
--- a/src/main/java/merlinlever/core/Stated.java
+++ b/src/main/java/merlinlever/core/Stated.java
@@ -63,6 +63,12 @@
         return given;
     }
 
+    /** The number stated under our name, or the other where there is none. */
+    public static double number(Map<String, String> given, String name, double absent) {
+        String stated = given.get(name);
+        return stated == null ? absent : Double.parseDouble(stated);
+    }
+
     /** The paths with a part that is in no table here. */
     public static List<String> unknown(Map<String, String> theirs) {
         List<String> unknown = new ArrayList<>();
--- a/src/main/java/merlinlever/directory/Reports.java
+++ b/src/main/java/merlinlever/directory/Reports.java
@@ -26,7 +26,6 @@
             channel.send(ByteBuffer.wrap(text), address);
         } catch (IOException e) {
             // Nobody listens, or there is no room now: the next report says the same.
-            return;
         }
     }
 }
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -204,7 +204,7 @@
         Work open = work;
         work = null;
         owner.gone(this);
-        if (open != null && how.callerGone()) {
+        if (open != null) {
             owner.backend().callerGone(owner.clock().now(), open);
         }
     }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import merlinlever.core.Backend;
+import merlinlever.core.Stated;
 import merlinlever.net.Clock;
 import merlinlever.net.Connection;
 import merlinlever.net.Ended;
@@ -46,8 +47,7 @@
         for (EdgeConnection.State state : EdgeConnection.State.values()) {
             since.put(state, new LinkedHashMap<>());
         }
-        closeIdle = Duration.ofMillis(FORGOTTEN
-                * (long) Double.parseDouble(given.getOrDefault("server.idle", "30000")));
+        closeIdle = Duration.ofMillis(FORGOTTEN * (long) Stated.number(given, "server.idle", 30_000));
         listener = new Listener(loop, address, mostConnections, channel -> {
             EdgeConnection edge = new EdgeConnection(this);
             Connection made = Connection.accepted(loop, channel, edge, EdgeConnection.BUFFER,
--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -55,7 +55,6 @@
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException e) {
             // Only a matter of speed; a channel that is broken will say so when it is read.
-            made = false;
         }
     }
 
@@ -109,11 +108,6 @@
         return ended;
     }
 
-    /** How much waits to be written. */
-    public int queued() {
-        return queued;
-    }
-
     /** Goes on reading if there is room: after {@link User#read} has taken something that it left before. */
     public void readOn() {
         if (reading || taking || ended != null || !made) {
@@ -241,13 +235,12 @@
         }
         ended = how;
         out.clear();
+        queued = 0;
         try {
             channel.close();
         } catch (IOException e) {
             // It is gone either way.
-            queued = 0;
         }
-        queued = 0;
         user.ended(how);
     }
 }
--- a/src/main/java/merlinlever/net/Listener.java
+++ b/src/main/java/merlinlever/net/Listener.java
@@ -42,10 +42,6 @@
         return (InetSocketAddress) channel.getLocalAddress();
     }
 
-    public int open() {
-        return open;
-    }
-
     public void accept() {
         if (accepting || closed) {
             return;
@@ -88,7 +84,6 @@
             channel.close();
         } catch (IOException e) {
             // Nothing more can be done about it.
-            accepting = false;
         }
     }
 }
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -322,7 +322,8 @@
     void whatItCannotStartWithIsSaidInOneLine() throws IOException, InterruptedException {
         String good = "{\"listen\":\"127.0.0.1:" + agents.getLocalPort() + "\",\"agent\":\"127.0.0.1:1\",\"lookup\":\"127.0.0.1:1\"}";
         String[] bad = {"{", "[]", "{}", good.replace("\"agent\":", "\"other\":"), good.replace("127.0.0.1:1\"}", "nowhere\"}"),
-            good};
+            good, good.replace("}", ",\"settings\":{\"family-info\":{\"idle\":\"soon\"}}}"),
+            good.replace("}", ",\"settings\":{\"family-info\":{\"class-skip-worth\":[\"x\"]},\"services\":[{\"name\":\"a\"}]}}")};
         for (String each : bad) {
             start(each);
             String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
