Simplify what the real backend does twice: tariff look-ups, deferred ends, connection states

No change of behaviour. The tariff of an operation was looked up three times; a connection's change of state searched all five maps; ends of shared operations were put off to a list although the settling they come from is complete by then; the configuration's numbers had a parser of their own; two flags could be derived.

--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -55,7 +55,6 @@
     private final Duration stopAfter;
     private final CountDownLatch over = new CountDownLatch(1);
     private Loop.Timer alarm;
-    private boolean quiet;
 
     public Serve(Map<?, ?> configuration, Log log) throws Unusable {
         this.log = log;
@@ -113,7 +112,7 @@
 
     private static double number(Map<String, String> rest, String name, double absent) throws Unusable {
         try {
-            return Double.parseDouble(rest.getOrDefault(name, "" + absent));
+            return Stated.number(rest, name, absent);
         } catch (NumberFormatException e) {
             throw new Unusable("the configuration's " + name + " is no number");
         }
@@ -174,8 +173,7 @@
     }
 
     private void endWhenAnswered() {
-        if (backend.inHand() == 0 && edge.allWritten() && !quiet) {
-            quiet = true;
+        if (backend.inHand() == 0 && edge.allWritten()) {
             log.info("all is answered");
             loop.stop();
         }
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -18,7 +18,7 @@
 public final class Backend implements Port<Work> {
 
     /** What an edge node sends with an operation. */
-    public record Asked(long id, String name, String tariff, Duration arrival, Duration clientTimeout, double kb,
+    public record Asked(long id, String name, int tariff, String tariffName, Duration arrival, Duration clientTimeout, double kb,
             Duration work, String tenant, boolean again, String token, String subject, byte[] body) {
     }
 
@@ -33,7 +33,6 @@
     private final Map<String, Integer> tariffs;
     private final Map<Long, Work> byId = new LinkedHashMap<>();
     private final Repeats repeats = new Repeats();
-    private final List<Runnable> afterwards = new ArrayList<>();
     private final List<Consumer<Boolean>> checks = new ArrayList<>();
     private final boolean subjects;
     private final int runQueueAt;
@@ -89,7 +88,7 @@
 
     /** Whether the agent is up and the module calls this server healthy. */
     public boolean healthy() {
-        return conductor != null && healthy;
+        return healthy;
     }
 
     /** Hears whether work gets done: one exercise at a time serves all that ask meanwhile. */
@@ -135,9 +134,8 @@
         touch(now);
         String mark = asked.token() != null ? "token " + asked.token()
                 : subjects && asked.subject() != null ? asked.tariff() + " " + asked.subject() : null;
-        int tariff = tariff(asked.tariff());
-        Work work = new Work(asked.id(), asked.name(), tariff, asked.tariff(), asked.arrival(), mark, asked.body(),
-                caller);
+        Work work = new Work(asked.id(), asked.name(), asked.tariff(), asked.tariffName(), asked.arrival(), mark,
+                asked.body(), caller);
         byId.put(work.id, work);
         inHand++;
         work.repeats = mark == null ? null : repeats.findOrEnter(work);
@@ -145,8 +143,8 @@
         // A mark that stands for another body is not known: the module breaks such an operation off.
         Operation original = work.repeats == null ? null
                 : asked.token() == null || work.repeats.sameAs(work) ? work.repeats.handle : Conductor.UNKNOWN;
-        work.handle = conductor.know(conductor.control().take(now, tariff, unread.isNegative() ? Duration.ZERO : unread,
-                asked.clientTimeout(), asked.kb(), asked.work(), conductor.tenant(asked.tenant()), asked.again(),
+        work.handle = conductor.know(conductor.control().take(now, asked.tariff(),
+                unread.isNegative() ? Duration.ZERO : unread, asked.clientTimeout(), asked.kb(), asked.work(), conductor.tenant(asked.tenant()), asked.again(),
                 asked.subject() != null, original), work);
         return work;
     }
@@ -308,9 +306,6 @@
             touched = false;
             this.now = now;
             conductor.settle(now);
-            List<Runnable> parts = List.copyOf(afterwards);
-            afterwards.clear();
-            parts.forEach(Runnable::run);
             repeats.sweep(now);
         }
     }
@@ -322,18 +317,20 @@
 
     // ---- answers
 
-    private void over(Work work) {
+    /** Its answer is given or owed no longer; returns who waited for it. */
+    private Caller over(Work work) {
+        Caller caller = work.caller;
         work.answered = true;
         work.caller = null;
         inHand--;
+        return caller;
     }
 
     private void answer(Work work, Ending how, byte[] result) {
         if (work.answered) {
             return;
         }
-        Caller caller = work.caller;
-        over(work);
+        Caller caller = over(work);
         if (how == Ending.OK) {
             caller.satisfied(result);
         } else {
@@ -341,15 +338,15 @@
         }
     }
 
-    /** The operation ends as the one whose outcome it shares. */
+    /** The operation ends as the one whose outcome it shares; where there is none, it is broken off. */
     private void endAs(Work sharer, Work original) {
         if (sharer.end != null) {
             return;
         }
-        boolean good = original.end == Ending.OK && original.result != null;
-        sharer.end = good ? Ending.OK : Ending.ERROR;
+        byte[] result = original != null && original.end == Ending.OK ? original.result : null;
+        sharer.end = result != null ? Ending.OK : Ending.ERROR;
         sharer.body = null;
-        answer(sharer, sharer.end, original.result);
+        answer(sharer, sharer.end, result);
         touched = true;
         sharer.handle.ended(now, sharer.end);
     }
@@ -396,9 +393,7 @@
 
     @Override public void pushBack(Work work, boolean nowhereElse, Duration stayAway) {
         if (!work.answered) {
-            Caller caller = work.caller;
-            over(work);
-            caller.pushedBack(nowhereElse, stayAway);
+            over(work).pushedBack(nowhereElse, stayAway);
         }
         repeatsUnkept(work);
     }
@@ -430,13 +425,10 @@
             // Its original ended unrun and another repeat has taken its place.
             original = repeats.holder(work.mark);
         }
-        if (original == null || original.end == null && !original.launched) {
-            afterwards.add(() -> endAs(work, work));
-        } else if (original.end != null) {
-            Work ended = original;
-            afterwards.add(() -> endAs(work, ended));
-        } else {
+        if (original != null && original.launched && original.end == null) {
             original.sharedBy(work);
+        } else {
+            endAs(work, original);
         }
     }
 
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -45,8 +45,8 @@
 
     private void become(State next) {
         if (connection.ended() == null) {
+            owner.moved(this, state, next);
             state = next;
-            owner.now(this, next);
         }
     }
 
@@ -98,8 +98,7 @@
         String path = head.path();
         if (path.equals(EdgeNodes.HEALTH)) {
             health();
-        } else if (path.startsWith(EdgeNodes.OPERATIONS)
-                && owner.backend().tariff(path.substring(EdgeNodes.OPERATIONS.length())) >= 0) {
+        } else if (path.startsWith(EdgeNodes.OPERATIONS)) {
             operation(path.substring(EdgeNodes.OPERATIONS.length()), Arrays.copyOfRange(bytes, end, end + length));
         } else {
             answer(404, NOTHING, "");
@@ -131,6 +130,11 @@
     }
 
     private void operation(String tariff, byte[] body) {
+        int index = owner.backend().tariff(tariff);
+        if (index < 0) {
+            answer(404, NOTHING, "");
+            return;
+        }
         if (!head.method().equals("POST")) {
             answer(405, NOTHING, "Allow: POST\r\n");
             return;
@@ -140,7 +144,7 @@
             answer(411, NOTHING, "");
             return;
         }
-        Backend.Asked operation = owner.asked(head, tariff, body);
+        Backend.Asked operation = owner.asked(head, tariff, index, body);
         if (operation == null) {
             answer(400, NOTHING, "");
             return;
@@ -203,7 +207,7 @@
     @Override public void ended(Ended how) {
         Work open = work;
         work = null;
-        owner.gone(this);
+        owner.gone(this, state);
         if (open != null) {
             owner.backend().callerGone(owner.clock().now(), open);
         }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -72,8 +72,8 @@
     }
 
     /** The operation that the message holds, or null. */
-    Backend.Asked asked(Head head, String tariff, byte[] body) {
-        return fields.asked(head, tariff, backend.tariff(tariff), body, loop.clock());
+    Backend.Asked asked(Head head, String tariff, int index, byte[] body) {
+        return fields.asked(head, tariff, index, body, loop.clock());
     }
 
     /** The field that goes with every answer, or nothing. */
@@ -106,13 +106,13 @@
         closeIdle = after;
     }
 
-    void now(EdgeConnection edge, EdgeConnection.State state) {
-        since.values().forEach(some -> some.remove(edge));
-        since.get(state).put(edge, loop.clock().uptime());
+    void moved(EdgeConnection edge, EdgeConnection.State from, EdgeConnection.State to) {
+        since.get(from).remove(edge);
+        since.get(to).put(edge, loop.clock().uptime());
     }
 
-    void gone(EdgeConnection edge) {
-        since.values().forEach(some -> some.remove(edge));
+    void gone(EdgeConnection edge, EdgeConnection.State from) {
+        since.get(from).remove(edge);
         listener.gone();
     }
 
--- a/src/main/java/merlinlever/http/Head.java
+++ b/src/main/java/merlinlever/http/Head.java
@@ -28,7 +28,6 @@
     }
 
     private static final Field[] FIELDS = Field.values();
-    private static final byte[] END = {'\r', '\n', '\r', '\n'};
 
     private final int[] from = new int[FIELDS.length];
     private final int[] to = new int[FIELDS.length];
@@ -40,7 +39,7 @@
     /** Where the head that begins at {@code start} ends, or -1; nothing before {@code seen} needs looking at. */
     static int end(byte[] bytes, int start, int seen, int limit) {
         for (int i = Math.max(start, seen - 3); i + 4 <= limit; i++) {
-            if (bytes[i] == '\r' && bytes[i + 1] == '\n' && bytes[i + 2] == END[2] && bytes[i + 3] == END[3]) {
+            if (bytes[i] == '\r' && bytes[i + 1] == '\n' && bytes[i + 2] == '\r' && bytes[i + 3] == '\n') {
                 return i + 4;
             }
         }
--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -110,10 +110,7 @@
 
     /** Goes on reading if there is room: after {@link User#read} has taken something that it left before. */
     public void readOn() {
-        if (reading || taking || ended != null || !made) {
-            return;
-        }
-        if (!in.hasRemaining()) {
+        if (reading || taking || ended != null || !made || !in.hasRemaining()) {
             return;
         }
         reading = true;
--- a/src/main/java/merlinlever/net/Loop.java
+++ b/src/main/java/merlinlever/net/Loop.java
@@ -99,8 +99,10 @@
         }
     }
 
+    /** Ends it with the batch that runs now, or at once where it waits for one. */
     public void stop() {
-        execute(() -> stopping = true);
+        stopping = true;
+        execute(() -> { });
     }
 
     private long untilNextTimer() {
--- a/src/test/java/merlinlever/core/BackendTest.java
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -72,8 +72,8 @@
                     heard.add("broken off");
                 }
             };
-            taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, tariff, now, now.plusMillis(1000), 10, null,
-                    null, false, token, null, body.getBytes(StandardCharsets.UTF_8)), caller));
+            taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, backend.tariff(tariff), tariff, now,
+                    now.plusMillis(1000), 10, null, null, false, token, null, body.getBytes(StandardCharsets.UTF_8)), caller));
             settle();
             return name;
         }
@@ -265,8 +265,8 @@
             Work[] works = new Work[3];
             List<String> heard = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
-                works[i] = around.backend.arrived(around.now, new Backend.Asked(++around.ids, "w", "look", around.now, null,
-                        10, null, null, false, null, "s", new byte[0]), new Caller() {
+                works[i] = around.backend.arrived(around.now, new Backend.Asked(++around.ids, "w", 0, "look", around.now,
+                        null, 10, null, null, false, null, "s", new byte[0]), new Caller() {
                             @Override public void satisfied(byte[] result) {
                                 heard.add(new String(result, StandardCharsets.UTF_8));
                             }
