--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -16,7 +16,7 @@
 import merlinlever.net.Loop;
 
 /** The link to the agent: made again when it is lost, with each notice taken once and in its order. */
-public final class AgentLink implements Connection.User {
+public final class AgentLink {
 
     private static final int LONGEST_LINE = 64 * 1024;
     private static final int MOST_QUEUED = 8 * 1024 * 1024;
@@ -29,19 +29,69 @@
     private static final Duration EXERCISE = Duration.ofSeconds(1);
 
     private final Loop loop;
-    private final InetSocketAddress address;
     private final Backend backend;
     private final Log log;
-    private Connection connection;
+    private InetSocketAddress address;
+    /** The greeted one that commands go over, or null. */
+    private Link link;
+    /** The one that is being made and takes its place with the greeting, or null. */
+    private Link coming;
+    private Loop.Timer retry;
     private Duration pause = FIRST_PAUSE;
-    private boolean greeted, sampling;
+    private boolean sampling;
     private long lastRead, tokens;
-    private Lines lines;
     private String exercise, caughtUp;
     private Loop.Timer exerciseLimit;
     private Duration lastHeard = Duration.ZERO;
     private int unanswered;
 
+    /** One connection; what comes on one that is neither in use nor coming is passed over. */
+    private final class Link implements Connection.User {
+        private final Lines lines = new Lines(LONGEST_LINE);
+        private Connection connection;
+        private Duration madeAt;
+
+        @Override public void made() {
+            madeAt = loop.clock().now();
+            send("{\"cmd\":\"subscribe\",\"offset\":" + lastRead + "}\n");
+        }
+
+        @Override public void read(ByteBuffer in) {
+            if (this == link) {
+                lastHeard = loop.clock().now();
+            }
+            if (!lines.take(in, this::line)) {
+                log.warn("a line of the agent is too long");
+                connection.end(Ended.MALFORMED);
+            }
+        }
+
+        private void line(String line) {
+            if (this == link || this == coming) {
+                AgentLink.this.line(this, line);
+            }
+        }
+
+        @Override public void ended(Ended how) {
+            if (this == link) {
+                log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
+                link = null;
+                backend.linkLost(lastHeard);
+            } else if (this == coming) {
+                coming = null;
+            } else {
+                return;
+            }
+            if (coming == null) {
+                again();
+            }
+        }
+
+        private void send(String line) {
+            connection.write(ByteBuffer.wrap(line.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
     public AgentLink(Loop loop, InetSocketAddress address, Backend backend, Log log) {
         this.loop = loop;
         this.address = address;
@@ -54,21 +104,42 @@
         loop.every(CHECK, this::checkThatItAnswers);
     }
 
+    /** The agent is to be reached there from now on; the link in use stays until the new one is greeted. */
+    public void moveTo(InetSocketAddress there) {
+        if (there.equals(address)) {
+            return;
+        }
+        address = there;
+        pause = FIRST_PAUSE;
+        Link stale = coming;
+        coming = null;
+        if (stale != null) {
+            stale.connection.end(Ended.DONE);
+        }
+        connect();
+    }
+
     /** A link on which questions stay unanswered for so many checks is made anew; a stall of ours is one check. */
     private void checkThatItAnswers() {
-        unanswered = greeted && sampling ? unanswered + 1 : 0;
+        // Before it is up the agent may take as long for its greeting as it likes.
+        boolean waits = coming != null ? backend.started() : link != null && sampling;
+        unanswered = waits ? unanswered + 1 : 0;
         if (unanswered >= CHECKS) {
-            connection.end(Ended.SLOW);
+            unanswered = 0;
+            (coming != null ? coming : link).connection.end(Ended.SLOW);
         }
     }
 
     private void connect() {
+        if (retry != null) {
+            retry.callOff();
+            retry = null;
+        }
         unanswered = 0;
-        greeted = false;
-        sampling = false;
-        lines = new Lines(LONGEST_LINE);
+        Link made = new Link();
         try {
-            connection = Connection.to(loop, address, this, LONGEST_LINE, MOST_QUEUED, CONNECT);
+            made.connection = Connection.to(loop, address, made, LONGEST_LINE, MOST_QUEUED, CONNECT);
+            coming = made;
         } catch (IOException e) {
             log.error("no channel for the link to the agent", e);
             again();
@@ -76,44 +147,22 @@
     }
 
     private void again() {
-        loop.in(pause, this::connect);
+        retry = loop.in(pause, this::connect);
         pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
     }
 
-    @Override public void made() {
-        send("{\"cmd\":\"subscribe\",\"offset\":" + lastRead + "}\n");
-    }
-
-    @Override public void ended(Ended how) {
-        if (greeted) {
-            log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
-            greeted = false;
-            backend.linkLost(lastHeard);
-        }
-        exerciseOver();
-        again();
-    }
-
-    @Override public void read(ByteBuffer in) {
-        lastHeard = loop.clock().now();
-        if (!lines.take(in, this::line)) {
-            log.warn("a line of the agent is too long");
-            connection.end(Ended.MALFORMED);
-        }
-    }
-
-    private void line(String line) {
+    private void line(Link from, String line) {
         if (line.isBlank()) {
             return;
         }
         try {
-            notice(Notice.read(line));
+            notice(from, Notice.read(line));
         } catch (Json.Malformed e) {
             log.warn("passed over a line of the agent: " + e.getMessage());
         }
     }
 
-    private void notice(Notice notice) {
+    private void notice(Link from, Notice notice) {
         if (notice.offset() > 0) {
             if (notice.offset() <= lastRead) {
                 return;
@@ -125,7 +174,11 @@
             lastRead = notice.offset();
         }
         switch (notice.word() == null ? "" : notice.word()) {
-            case "greeting" -> greeted(notice);
+            case "greeting" -> {
+                if (from == coming) {
+                    greeted(notice);
+                }
+            }
             case "outcome" -> outcome(notice);
             case "request" -> backend.needsCall(loop.clock().now(), notice.id(), notice.payload());
             case "sampled" -> sampled(notice);
@@ -148,10 +201,20 @@
     }
 
     private void greeted(Notice notice) {
-        greeted = true;
+        Link before = link;
+        link = coming;
+        coming = null;
+        sampling = false;
         pause = FIRST_PAUSE;
+        if (before != null) {
+            // It was replaced at some time after the new one had been made.
+            backend.linkLost(lastHeard.compareTo(link.madeAt) < 0 ? lastHeard : link.madeAt);
+            before.connection.end(Ended.DONE);
+        }
+        lastHeard = loop.clock().now();
         if (!backend.started()) {
             loop.clock().startWas(Duration.ofNanos((long) (notice.elapsedMs() * 1e6)));
+            lastHeard = loop.clock().now();
             log.info("the agent is up: " + notice.text() + ", started " + notice.elapsedMs() + " ms ago");
             backend.started(loop.clock().now(), "COLD".equals(notice.text()));
             return;
@@ -159,7 +222,10 @@
         log.info("link to the agent is back");
         backend.linkBack(loop.clock().now());
         caughtUp = "up" + tokens++;
-        send("{\"cmd\":\"sample\",\"token\":\"" + caughtUp + "\"}\n");
+        link.send("{\"cmd\":\"sample\",\"token\":\"" + caughtUp + "\"}\n");
+        if (exercise != null) {
+            askToExercise();
+        }
     }
 
     private void outcome(Notice notice) {
@@ -196,13 +262,9 @@
 
     // ---- commands; without a link they are lost, and the backend sends again what matters
 
-    private void send(String line) {
-        connection.write(ByteBuffer.wrap(line.getBytes(StandardCharsets.UTF_8)));
-    }
-
     private void command(String word, Work work, String rest) {
-        if (greeted) {
-            send("{\"cmd\":\"" + word + "\",\"req\":\"" + work.name() + "\"" + rest + "}\n");
+        if (link != null) {
+            link.send("{\"cmd\":\"" + word + "\",\"req\":\"" + work.name() + "\"" + rest + "}\n");
         }
     }
 
@@ -228,24 +290,27 @@
 
     /** One at a time. */
     public boolean sample() {
-        boolean asks = greeted && !sampling;
+        boolean asks = link != null && !sampling;
         if (asks) {
             sampling = true;
-            send("{\"cmd\":\"sample\",\"token\":\"s" + tokens++ + "\"}\n");
+            link.send("{\"cmd\":\"sample\",\"token\":\"s" + tokens++ + "\"}\n");
         }
         return asks;
     }
 
+    /** One at a time too; without a link it is asked for once there is one, if that is soon. */
     public void exercise() {
-        if (!greeted) {
-            loop.execute(() -> backend.exercised(false));
-            return;
-        }
         exercise = "x" + tokens++;
-        send("{\"cmd\":\"exercise\",\"token\":\"" + exercise + "\"}\n");
         exerciseLimit = loop.in(EXERCISE, () -> {
             exerciseOver();
             backend.exercised(false);
         });
+        if (link != null) {
+            askToExercise();
+        }
+    }
+
+    private void askToExercise() {
+        link.send("{\"cmd\":\"exercise\",\"token\":\"" + exercise + "\"}\n");
     }
 }
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -19,7 +19,7 @@
 import merlinlever.json.Json;
 import merlinlever.log.Log;
 import merlinlever.net.Clock;
-import merlinlever.net.Ended;
+import merlinlever.net.HangUp;
 import merlinlever.net.Loop;
 import merlinlever.records.RecordsLink;
 
@@ -33,6 +33,9 @@
     private static final Duration SIGNAL = Duration.ofMillis(100);
     /** Descriptors that are not for edge nodes: the parties' links, files of the runtime. */
     private static final int OTHER_DESCRIPTORS = 24;
+    /** A configuration that cannot be used may be half written still: so often and so much later it is read again. */
+    private static final int READINGS = 5;
+    private static final Duration READ_AGAIN = Duration.ofMillis(100);
 
     /** What cannot be started with; its message is for the person at the console. */
     public static final class Unusable extends Exception {
@@ -43,6 +46,16 @@
         }
     }
 
+    /** Where the parties are. */
+    private record Parties(InetSocketAddress agent, InetSocketAddress records, InetSocketAddress lookup) {
+        static Parties of(Map<String, String> configuration) throws Unusable {
+            return new Parties(address(configuration, "agent"),
+                    configuration.containsKey("records") ? address(configuration, "records") : null,
+                    address(configuration, "lookup"));
+        }
+    }
+
+    private final Map<String, String> environment;
     private final Log log;
     private final Clock clock = Clock.system();
     private final Loop loop;
@@ -53,11 +66,14 @@
     private final EdgeNodes edge;
     private final Reports reports;
     private final Duration stopAfter;
+    private final boolean listFollows;
     private final CountDownLatch over = new CountDownLatch(1);
     private Loop.Timer alarm;
 
-    public Serve(Map<?, ?> configuration, Log log) throws Unusable {
+    public Serve(Map<String, String> environment, Log log) throws Unusable {
+        this.environment = environment;
         this.log = log;
+        Map<?, ?> configuration = configuration();
         Map<String, String> stated = configuration.get("settings") instanceof Map<?, ?> map ? Json.flat(map) : Map.of();
         List<String> unknown = Stated.unknown(stated);
         if (!unknown.isEmpty()) {
@@ -71,9 +87,10 @@
         try {
             loop = new Loop(clock, failure -> log.error("failed", failure));
             backend = new Backend(given, seed(rest.get("seed")), this);
-            agent = new AgentLink(loop, address(rest, "agent"), backend, log);
-            records = rest.containsKey("records") ? new RecordsLink(loop, address(rest, "records"), backend, log) : null;
-            reports = new Reports(address(rest, "lookup"), rest.getOrDefault("name", ""));
+            Parties parties = Parties.of(rest);
+            agent = new AgentLink(loop, parties.agent(), backend, log);
+            records = new RecordsLink(loop, parties.records(), backend, log);
+            reports = new Reports(parties.lookup(), rest.getOrDefault("name", ""));
             loop.after(() -> backend.settle(clock.now()));
             edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS));
         } catch (IOException e) {
@@ -83,16 +100,18 @@
         }
         agent.start();
         // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
-        boolean listFollows = Boolean.parseBoolean(given.get("server.readiness"));
-        loop.every(REPORT, () -> {
-            if (!backend.leaving() || listFollows) {
-                reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
-            }
-        });
+        listFollows = Boolean.parseBoolean(given.get("server.readiness"));
+        loop.every(REPORT, this::report);
+    }
+
+    private void report() {
+        if (!backend.leaving() || listFollows) {
+            reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
+        }
     }
 
     /** Reads the file that the environment names. */
-    static Map<?, ?> configuration(Map<String, String> environment) throws Unusable {
+    private Map<?, ?> configuration() throws Unusable {
         String file = environment.get("GW_CONFIG");
         if (file == null) {
             throw new Unusable("GW_CONFIG names no configuration");
@@ -136,7 +155,8 @@
     static int main(Map<String, String> environment) {
         Log log = new Log(System.out, Instant::now);
         try {
-            Serve serve = new Serve(configuration(environment), log);
+            Serve serve = new Serve(environment, log);
+            HangUp.handle(() -> serve.loop.execute(() -> serve.reread(READINGS)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> serve.leaveAndWait()));
             log.info("listening on " + serve.edge.address());
             try {
@@ -151,6 +171,23 @@
         }
     }
 
+    /** The configuration was replaced: the parties may be elsewhere now; all else stays as it was at the start. */
+    private void reread(int readings) {
+        try {
+            Parties parties = Parties.of(Json.flat(configuration()));
+            log.info("configuration read again: " + parties);
+            agent.moveTo(parties.agent());
+            records.moveTo(parties.records());
+            reports.moveTo(parties.lookup());
+            report();
+        } catch (Unusable e) {
+            log.warn("configuration not taken over: " + e.getMessage());
+            if (readings > 1) {
+                loop.in(READ_AGAIN, () -> reread(readings - 1));
+            }
+        }
+    }
+
     /** On the thread that the signal has started. */
     private void leaveAndWait() {
         loop.execute(this::leave);
@@ -206,17 +243,11 @@
     }
 
     @Override public void call(Work work, Duration giveUpAfter) {
-        if (records == null) {
-            loop.execute(() -> backend.callEnded(clock.now(), work.id(), Ended.NOT_MADE.ofCall(), null));
-        } else {
-            records.call(work, giveUpAfter);
-        }
+        records.call(work, giveUpAfter);
     }
 
     @Override public void giveUp(Work work) {
-        if (records != null) {
-            records.giveUp(work);
-        }
+        records.giveUp(work);
     }
 
     @Override public void closeIdle(Duration after) {
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -258,7 +258,6 @@
         if (doubtfulFrom == null) {
             doubtfulFrom = lastHeard.minus(IN_TRANSIT);
         }
-        exercised(false);
     }
 
     /** The link is made again: what is sent from here on gets there. */
--- a/src/main/java/merlinlever/directory/Reports.java
+++ b/src/main/java/merlinlever/directory/Reports.java
@@ -10,8 +10,8 @@
 public final class Reports {
 
     private final DatagramChannel channel;
-    private final InetSocketAddress address;
     private final String name;
+    private InetSocketAddress address;
 
     public Reports(InetSocketAddress address, String name) throws IOException {
         this.address = address;
@@ -20,6 +20,11 @@
         channel.configureBlocking(false);
     }
 
+    /** Reports go there from now on. */
+    public void moveTo(InetSocketAddress there) {
+        address = there;
+    }
+
     public void report(boolean open) {
         byte[] text = ("PULSE " + name + (open ? " open" : " closed")).getBytes(StandardCharsets.UTF_8);
         try {
--- a/src/main/java/merlinlever/records/RecordsLink.java
+++ b/src/main/java/merlinlever/records/RecordsLink.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import merlinlever.core.Backend;
 import merlinlever.core.Work;
 import merlinlever.log.Log;
@@ -27,9 +28,9 @@
     private static final Duration SILENT = Duration.ofSeconds(2);
 
     private final Loop loop;
-    private final InetSocketAddress address;
     private final Backend backend;
     private final Log log;
+    private InetSocketAddress address;
     /** The calls in hand, and the connection that each is on. */
     private final Map<Long, Line> calls = new LinkedHashMap<>();
     private Line line;
@@ -76,7 +77,7 @@
         }
 
         private void watch() {
-            if (connection.ended() == null && inHand == 0 && silent(IDLE)) {
+            if (connection.ended() == null && inHand == 0 && (line != this || silent(IDLE))) {
                 connection.end(Ended.IDLE);
             } else if (connection.ended() == null) {
                 loop.in(WATCH, this::watch);
@@ -84,6 +85,7 @@
         }
     }
 
+    /** @param address of the service, or null where there is none */
     public RecordsLink(Loop loop, InetSocketAddress address, Backend backend, Log log) {
         this.loop = loop;
         this.address = address;
@@ -91,7 +93,19 @@
         this.log = log;
     }
 
+    /** The service is to be reached there from now on; the calls in hand end where they are. */
+    public void moveTo(InetSocketAddress there) {
+        if (!Objects.equals(there, address)) {
+            address = there;
+            line = null;
+        }
+    }
+
     public void call(Work work, Duration giveUpAfter) {
+        if (address == null) {
+            notMade(work);
+            return;
+        }
         if (line != null && line.inHand > 0 && line.silent(SILENT)) {
             log.warn("records service silent, " + line.inHand + " calls in hand: another connection");
             line = null;
@@ -106,7 +120,7 @@
             }
         } catch (IOException e) {
             log.error("no channel to the records service", e);
-            loop.execute(() -> backend.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
+            notMade(work);
             return;
         }
         if (line.inHand++ == 0) {
@@ -118,6 +132,10 @@
                 + body.length + "\r\n"), ByteBuffer.wrap(body), ascii("\r\n"));
     }
 
+    private void notMade(Work work) {
+        loop.execute(() -> backend.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
+    }
+
     public void giveUp(Work work) {
         Line its = over(work.id());
         if (its != null) {
