--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -31,7 +31,9 @@
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
     /** The signal may take so long to get to the loop; the grace counts from the signal. */
     private static final Duration SIGNAL = Duration.ofMillis(100);
-    /** Descriptors that are not for edge nodes: the parties' links, files of the runtime. */
+    /** So many descriptors, one part of them, are for calls in hand. */
+    private static final int CALLS_PART = 8;
+    /** Descriptors that are for neither edge nodes nor calls: the other links, files of the runtime. */
     private static final int OTHER_DESCRIPTORS = 24;
     /** A configuration that cannot be used may be half written still: so often and so much later it is read again. */
     private static final int READINGS = 5;
@@ -84,15 +86,16 @@
         InetSocketAddress listen = address(rest, "listen");
         stopAfter = Duration.ofMillis((long) number(rest, "stop_ms", 3000));
         int sockets = (int) number(rest, "limits.sockets", 1024);
+        int calls = Math.max(4, sockets / CALLS_PART);
         try {
             loop = new Loop(clock, failure -> log.error("failed", failure));
             backend = new Backend(given, seed(rest.get("seed")), this);
             Parties parties = Parties.of(rest);
             agent = new AgentLink(loop, parties.agent(), backend, log);
-            records = new RecordsLink(loop, parties.records(), backend, log);
+            records = new RecordsLink(loop, parties.records(), backend, log, calls);
             reports = new Reports(parties.lookup(), rest.getOrDefault("name", ""));
             loop.after(() -> backend.settle(clock.now()));
-            edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS));
+            edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS - calls));
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
         } catch (NumberFormatException e) {
--- a/src/main/java/merlinlever/records/RecordsLink.java
+++ b/src/main/java/merlinlever/records/RecordsLink.java
@@ -5,10 +5,12 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.LinkedHashMap;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
+import merlinlever.Ending;
 import merlinlever.core.Backend;
 import merlinlever.core.Work;
 import merlinlever.log.Log;
@@ -16,140 +18,215 @@
 import merlinlever.net.Ended;
 import merlinlever.net.Loop;
 
-/** All calls to the records service, on one connection that is made when there is a call and closed when idle. */
+/**
+ * All calls to the records service. Each has a connection to itself while it is in hand, so that one spoilt reply, one
+ * that never comes or one broken connection costs one call; a connection that brought its one whole reply and nothing
+ * else is used again, the one used last first.
+ */
 public final class RecordsLink {
 
-    private static final int MOST_QUEUED = 8 * 1024 * 1024;
+    private static final int MOST_QUEUED = 64 * 1024;
     private static final Duration CONNECT = Duration.ofSeconds(2);
-    /** The service closes after 10 s; a call that crosses that would be cut off. */
-    private static final Duration IDLE = Duration.ofSeconds(8);
-    private static final Duration WATCH = Duration.ofMillis(500);
-    /** A connection that says nothing for so long while calls wait is not given more of them. */
-    private static final Duration SILENT = Duration.ofSeconds(2);
+    private static final Duration SWEEP = Duration.ofMillis(100);
+    /** What is idle for longer may have been forgotten there, and a call on it would be cut off with nothing proven. */
+    private static final Duration IDLE = Duration.ofMillis(300);
+    /** A reply whose rest takes longer has a length that does not fit. */
+    private static final Duration STALLED = Duration.ofMillis(200);
+    /** A reply may take so much longer than the service was told that we wait. */
+    private static final Duration LATE = Duration.ofMillis(20);
 
     private final Loop loop;
     private final Backend backend;
     private final Log log;
+    private final int most;
     private InetSocketAddress address;
-    /** The calls in hand, and the connection that each is on. */
-    private final Map<Long, Line> calls = new LinkedHashMap<>();
-    private Line line;
+    private final Map<Long, Call> calls = new HashMap<>();
+    /** Calls in hand that have no line yet. */
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    /** Lines without a call, the one used last first. */
+    private final ArrayDeque<Line> idle = new ArrayDeque<>();
+    private int lines;
+
+    /** One call, from its asking to its end. */
+    private static final class Call {
+        private final Work work;
+        private final byte[] body;
+        private final Duration until;
+        private Loop.Timer limit;
+        private Line line;
+
+        Call(Work work, Duration until) {
+            this.work = work;
+            this.until = until;
+            body = work.callBody();
+        }
+    }
 
     /** One connection. */
     private final class Line implements Connection.User {
+        private final InetSocketAddress to = address;
         private Connection connection;
-        private int inHand;
-        /** When it last said something, or was given a call with none in hand. */
-        private Duration used = loop.clock().uptime();
+        private Call call;
+        private long lastId;
+        private boolean surplus;
+        /** Since when it has been idle, or has held a part of a reply. */
+        private Duration since;
+        private boolean partly;
+
+        private void carry(Call next) {
+            call = next;
+            next.line = this;
+            lastId = next.work.id();
+            long wait = Math.max(1, next.until.minus(loop.clock().uptime()).toMillis());
+            connection.write(ascii("OP " + next.work.name() + " " + wait + " " + next.body.length + "\r\n"),
+                    ByteBuffer.wrap(next.body), ascii("\r\n"));
+        }
 
         @Override public void read(ByteBuffer in) {
             try {
                 Reply reply = Reply.read(in.array(), in.position(), in.limit());
                 while (reply != null) {
                     in.position(reply.end());
-                    used = loop.clock().uptime();
-                    if (calls.get(reply.id()) == this) {
-                        over(reply.id());
-                        backend.callEnded(loop.clock().now(), reply.id(), reply.ending(), reply.body());
+                    if (call != null && reply.id() == lastId) {
+                        over(call, reply.ending(), reply.body());
+                    } else {
+                        surplus = true;
                     }
                     reply = Reply.read(in.array(), in.position(), in.limit());
                 }
             } catch (Reply.Malformed e) {
                 log.warn("records service: " + e.getMessage());
                 connection.end(Ended.MALFORMED);
+                return;
             }
-        }
-
-        @Override public void ended(Ended how) {
-            if (line == this) {
-                line = null;
+            since = loop.clock().uptime();
+            partly = in.hasRemaining();
+            if (call != null) {
+                return;
             }
-            if (inHand > 0) {
-                log.warn("connection to the records service over: " + how + ", " + inHand + " calls in hand");
-                List<Long> ids = calls.keySet().stream().filter(id -> calls.get(id) == this).toList();
-                ids.forEach(RecordsLink.this::over);
-                ids.forEach(id -> backend.callEnded(loop.clock().now(), id, how.ofCall(), null));
+            if (surplus || in.hasRemaining() || !to.equals(address)) {
+                connection.end(surplus || in.hasRemaining() ? Ended.MALFORMED : Ended.DONE);
+            } else {
+                idle.addFirst(this);
+                nextWaiting();
             }
         }
 
-        private boolean silent(Duration since) {
-            return used.plus(since).compareTo(loop.clock().uptime()) <= 0;
-        }
-
-        private void watch() {
-            if (connection.ended() == null && inHand == 0 && (line != this || silent(IDLE))) {
-                connection.end(Ended.IDLE);
-            } else if (connection.ended() == null) {
-                loop.in(WATCH, this::watch);
+        @Override public void ended(Ended how) {
+            lines--;
+            idle.remove(this);
+            if (call != null) {
+                log.warn("connection to the records service over: " + how + ", a call in hand");
+                over(call, how.ofCall(), null);
             }
+            nextWaiting();
         }
     }
 
-    /** @param address of the service, or null where there is none */
-    public RecordsLink(Loop loop, InetSocketAddress address, Backend backend, Log log) {
+    /**
+     * @param address of the service, or null where there is none
+     * @param most connections at the same time; calls beyond that wait for one
+     */
+    public RecordsLink(Loop loop, InetSocketAddress address, Backend backend, Log log, int most) {
         this.loop = loop;
         this.address = address;
         this.backend = backend;
         this.log = log;
+        this.most = most;
+        loop.every(SWEEP, this::sweep);
     }
 
     /** The service is to be reached there from now on; the calls in hand end where they are. */
     public void moveTo(InetSocketAddress there) {
         if (!Objects.equals(there, address)) {
             address = there;
-            line = null;
+            sweep();
+        }
+    }
+
+    private void sweep() {
+        Duration now = loop.clock().uptime();
+        calls.values().stream().map(call -> call.line).filter(line -> line != null && line.partly
+                && line.since.plus(STALLED).compareTo(now) <= 0).toList().forEach(line -> line.connection.end(Ended.SLOW));
+        while (!idle.isEmpty()
+                && (!idle.peekLast().to.equals(address) || idle.peekLast().since.plus(IDLE).compareTo(now) <= 0)) {
+            idle.pollLast().connection.end(Ended.IDLE);
         }
     }
 
     public void call(Work work, Duration giveUpAfter) {
         if (address == null) {
-            notMade(work);
+            loop.execute(() -> backend.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
             return;
         }
-        if (line != null && line.inHand > 0 && line.silent(SILENT)) {
-            log.warn("records service silent, " + line.inHand + " calls in hand: another connection");
-            line = null;
-        }
-        try {
-            if (line == null) {
-                Line made = new Line();
-                made.connection = Connection.to(loop, address, made, Reply.LONGEST_LINE + Reply.LONGEST_BODY + 4,
-                        MOST_QUEUED, CONNECT);
-                line = made;
-                made.watch();
-            }
-        } catch (IOException e) {
-            log.error("no channel to the records service", e);
-            notMade(work);
-            return;
+        Call call = new Call(work, loop.clock().uptime().plus(giveUpAfter));
+        calls.put(work.id(), call);
+        call.limit = loop.in(giveUpAfter.plus(LATE), () -> giveUp(call, Ending.GIVEN_UP));
+        waiting.add(call);
+        nextWaiting();
+    }
+
+    public void giveUp(Work work) {
+        Call call = calls.get(work.id());
+        if (call != null) {
+            giveUp(call, null);
         }
-        if (line.inHand++ == 0) {
-            line.used = loop.clock().uptime();
+    }
+
+    /** With its connection, on which the reply may still come. */
+    private void giveUp(Call call, Ending how) {
+        Line its = call.line;
+        over(call, how, null);
+        if (its != null) {
+            its.connection.end(Ended.SLOW);
         }
-        calls.put(work.id(), line);
-        byte[] body = work.callBody();
-        line.connection.write(ascii("OP " + work.name() + " " + Math.max(1, giveUpAfter.toMillis()) + " "
-                + body.length + "\r\n"), ByteBuffer.wrap(body), ascii("\r\n"));
     }
 
-    private void notMade(Work work) {
-        loop.execute(() -> backend.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
+    /** The call is in hand no longer; where it matters how it ended, the backend hears of it. */
+    private void over(Call call, Ending how, byte[] reply) {
+        calls.remove(call.work.id());
+        waiting.remove(call);
+        call.limit.callOff();
+        if (call.line != null) {
+            call.line.call = null;
+        }
+        if (how != null) {
+            backend.callEnded(loop.clock().now(), call.work.id(), how, reply);
+        }
     }
 
-    public void giveUp(Work work) {
-        Line its = over(work.id());
-        if (its != null) {
-            its.connection.write(ascii("UNOP " + work.name() + "\r\n"));
+    private void nextWaiting() {
+        while (!waiting.isEmpty()) {
+            Line line = line(waiting.peek().work.id());
+            if (line == null) {
+                return;
+            }
+            line.carry(waiting.poll());
         }
     }
 
-    /** The call is in hand no longer; returns the connection that it was on, or null. */
-    private Line over(long id) {
-        Line its = calls.remove(id);
-        if (its != null) {
-            its.inHand--;
+    /** One for the operation's call, or null as long as there is none; never the one that its last call was on. */
+    private Line line(long id) {
+        for (Iterator<Line> all = idle.iterator(); all.hasNext();) {
+            Line line = all.next();
+            if (line.lastId != id) {
+                all.remove();
+                return line;
+            }
+        }
+        if (lines >= most) {
+            return null;
+        }
+        Line made = new Line();
+        try {
+            made.connection = Connection.to(loop, address, made, Reply.LONGEST_LINE + Reply.LONGEST_BODY + 4,
+                    MOST_QUEUED, CONNECT);
+        } catch (IOException e) {
+            log.error("no channel to the records service", e);
+            return null;
         }
-        return its;
+        lines++;
+        return made;
     }
 
     private static ByteBuffer ascii(String text) {
--- a/src/main/java/merlinlever/records/Reply.java
+++ b/src/main/java/merlinlever/records/Reply.java
@@ -27,6 +27,10 @@
     static Reply read(byte[] bytes, int start, int limit) throws Malformed {
         int at = start;
         while (at + 1 < limit && (bytes[at] != '\r' || bytes[at + 1] != '\n')) {
+            // Noise need not have an end, so it is not waited for.
+            if (bytes[at] < ' ' || bytes[at] == 127) {
+                throw new Malformed("no reply: what is not text");
+            }
             at++;
         }
         if (at + 1 >= limit) {
@@ -56,7 +60,11 @@
                 throw new Malformed("a body without its end");
             }
         }
-        return new Reply(number(parts[0], 16), ending(parts[1]),
+        Ending ending = ending(parts[1]);
+        if (ending == Ending.OK && parts.length != 3) {
+            throw new Malformed("done, without a length");
+        }
+        return new Reply(number(parts[0], 16), ending,
                 Arrays.copyOfRange(bytes, bodyAt, bodyAt + length), end);
     }
 
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -284,6 +284,53 @@
         assertArrayEquals(new byte[] {7}, answer(edge).body());
     }
 
+    private void reachesCall(long offset, Map<?, ?> launch) throws IOException {
+        tell("{\"cmd\":\"request\",\"offset\":" + offset + ",\"req\":\"" + launch.get("req") + "\",\"payload\":\"AQI=\"}");
+    }
+
+    private void reply(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private Socket callOf(Map<?, ?> launch) throws IOException {
+        record = records.accept();
+        assertTrue(recordsLine().startsWith("OP " + launch.get("req")));
+        return record;
+    }
+
+    /** A reply that is spoilt costs its own call; one that brings more than belongs to it is taken once, alone. */
+    @Example
+    void aSpoiltReplyCostsOneCallAndASecondCopyNone() throws IOException {
+        startUp();
+        greet();
+        Socket spoilt = ask(operation("buy", "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "a"));
+        Map<?, ?> first = hear("launch");
+        reachesCall(1, first);
+        Socket its = callOf(first);
+        Socket edge = ask(operation("look", "", ""));
+        Map<?, ?> second = hear("launch");
+        String id = "" + second.get("req");
+        reachesCall(2, second);
+        Socket other = callOf(second);
+        reply(its, "\u0007noise");
+        assertEquals(500, answer(spoilt).status());
+        reply(other, "0123456789abcdef DONE 1\r\nx\r\n");
+        reply(other, id + " DONE 1\r\na\r\n" + id + " DONE 1\r\na\r\n");
+        assertEquals("YQ==", hear("deliver").get("payload"));
+        reachesCall(3, second);
+        Socket next = callOf(second);
+        assertEquals(4, its.getInputStream().readAllBytes().length);
+        reply(next, id + " DONE 1\r\nb\r\n");
+        assertEquals("Yg==", hear("deliver").get("payload"));
+        // A copy may follow late: the run's next call is on another connection even where this one is of use still.
+        reachesCall(4, second);
+        Socket last = callOf(second);
+        reply(next, id + " DONE 1\r\nb\r\n");
+        // A length that does not fit: the rest never comes, and it is not waited for until the end.
+        reply(last, id + " DONE 9\r\nc\r\n");
+        assertEquals(4, last.getInputStream().readAllBytes().length);
+    }
+
     /** Replaced under load, the configuration moves the parties and costs no run, no call, no notice and no connection. */
     @Example
     void aReplacedConfigurationMovesThePartiesUnderWorkInHand() throws IOException, InterruptedException {
--- a/src/test/java/merlinlever/records/ReplyTest.java
+++ b/src/test/java/merlinlever/records/ReplyTest.java
@@ -51,12 +51,16 @@
 
     @Example
     void whatIsNoReplyIsMalformed() {
-        for (String bad : new String[] {"x", "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d41 GONE", "9b1f03aa5c7e2d41 DONE -1",
+        for (String bad : new String[] {"x", "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d41 GONE", "9b1f03aa5c7e2d41 DONE",
+            "9b1f03aa5c7e2d41 DONE -1",
             "9b1f03aa5c7e2d41 DONE 99999", "9b1f03aa5c7e2d41 DONE 1 2", "9b1f03aa5c7e2d41 DONE 1\r\nabc", "a".repeat(200)}) {
             byte[] bytes = ascii(bad + "\r\n");
             assertThrows(Reply.Malformed.class, () -> Reply.read(bytes, 0, bytes.length), bad);
         }
-        byte[] endless = ascii("a".repeat(200));
-        assertThrows(Reply.Malformed.class, () -> Reply.read(endless, 0, endless.length));
+        // What cannot become a reply is not waited for, whether its line ends or not.
+        for (String endless : new String[] {"a".repeat(200), "9b1f\u0003x", "\u00e9t\u00e9"}) {
+            byte[] bytes = ascii(endless);
+            assertThrows(Reply.Malformed.class, () -> Reply.read(bytes, 0, bytes.length));
+        }
     }
 }
