--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -27,6 +27,7 @@
 public final class Serve implements Outside {
 
     private static final Duration REPORT = Duration.ofSeconds(1);
+    private static final Duration COMPARE = Duration.ofSeconds(1);
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
     /** The signal may take so long to get to the loop; the grace counts from the signal. */
@@ -105,6 +106,7 @@
         // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
         listFollows = Boolean.parseBoolean(given.get("server.readiness"));
         loop.every(REPORT, this::report);
+        loop.every(COMPARE, clock::compare);
     }
 
     private void report() {
--- a/src/main/java/merlinlever/net/Clock.java
+++ b/src/main/java/merlinlever/net/Clock.java
@@ -5,25 +5,48 @@
 import java.util.function.LongSupplier;
 
 /**
- * Spans since a start that can be set once more, monotonic from one reading of the Unix clock; a step of the system's
- * clock changes nothing here.
+ * Spans since a start that can be set once more, on a clock that never steps. Times of the Unix clock are brought over
+ * by how far that one is ahead, which is read again now and then, as the two need not run equally fast.
  */
 public final class Clock {
 
+    /** The process may be held up between two readings of the clocks; the narrowest of so many pairs counts. */
+    private static final int READINGS = 5;
+
+    private final LongSupplier unix;
     private final LongSupplier nanos;
-    private final long readAt;
-    private final long unixNanosThen;
+    private final long madeAt;
+    private long ahead;
     private long start;
 
-    public Clock(Instant unix, LongSupplier nanos) {
+    /** On clocks that count nanoseconds, the one since 1970. */
+    public Clock(LongSupplier unix, LongSupplier nanos) {
+        this.unix = unix;
         this.nanos = nanos;
-        readAt = nanos.getAsLong();
-        unixNanosThen = unix.getEpochSecond() * 1_000_000_000L + unix.getNano();
-        start = readAt;
+        madeAt = nanos.getAsLong();
+        start = madeAt;
+        compare();
     }
 
     public static Clock system() {
-        return new Clock(Instant.now(), System::nanoTime);
+        return new Clock(() -> {
+            Instant now = Instant.now();
+            return now.getEpochSecond() * 1_000_000_000L + now.getNano();
+        }, System::nanoTime);
+    }
+
+    /** Reads again how far the Unix clock is ahead. */
+    public void compare() {
+        long narrowest = Long.MAX_VALUE;
+        for (int i = 0; i < READINGS; i++) {
+            long before = nanos.getAsLong();
+            long then = unix.getAsLong();
+            long gap = nanos.getAsLong() - before;
+            if (gap < narrowest) {
+                narrowest = gap;
+                ahead = then - before - gap / 2;
+            }
+        }
     }
 
     /** From here on spans count from so long ago. */
@@ -33,7 +56,7 @@
 
     /** Since this clock was made, whatever else spans count from. */
     public Duration uptime() {
-        return Duration.ofNanos(nanos.getAsLong() - readAt);
+        return Duration.ofNanos(nanos.getAsLong() - madeAt);
     }
 
     public Duration now() {
@@ -42,7 +65,7 @@
 
     /** The span since the start that a Unix time stands for; it may lie before the start. */
     public Duration ofUnix(long millis) {
-        return Duration.ofNanos(millis * 1_000_000L - unixNanosThen + (readAt - start));
+        return Duration.ofNanos(millis * 1_000_000L - ahead - start);
     }
 
     long nanoTime() {
--- a/src/test/java/merlinlever/net/NetTest.java
+++ b/src/test/java/merlinlever/net/NetTest.java
@@ -9,7 +9,6 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -49,22 +48,36 @@
     }
 
     @Example
-    void spansGoOnFromOneReadingOfTheUnixClock() {
+    void timesOfTheUnixClockAreBroughtOverByItsLead() {
         AtomicLong nanos = new AtomicLong(50);
-        Clock clock = new Clock(Instant.ofEpochMilli(10_000), nanos::get);
-        nanos.addAndGet(2_000_000);
-        assertEquals(Duration.ofMillis(2), clock.now());
+        AtomicLong unix = new AtomicLong(10_000_000_000L);
+        // Held up by 400 ms between its first two readings of the clocks, and by nothing between later ones.
+        AtomicLong readings = new AtomicLong();
+        Clock clock = new Clock(() -> {
+            long then = unix.get();
+            if (readings.incrementAndGet() == 1) {
+                nanos.addAndGet(400_000_000);
+                unix.addAndGet(400_000_000);
+            }
+            return then;
+        }, nanos::get);
+        assertEquals(Duration.ofMillis(400), clock.now());
         assertEquals(Duration.ofMillis(-500), clock.ofUnix(9_500));
         clock.startWas(Duration.ofMillis(100));
         assertEquals(Duration.ofMillis(100), clock.now());
-        assertEquals(Duration.ofMillis(98), clock.ofUnix(10_000));
+        assertEquals(Duration.ofMillis(-300), clock.ofUnix(10_000));
+        // The Unix clock gains on the other one: that is seen at the next comparison, and the spans go on as they were.
+        unix.addAndGet(30_000_000);
+        clock.compare();
+        assertEquals(Duration.ofMillis(100), clock.now());
+        assertEquals(Duration.ofMillis(-330), clock.ofUnix(10_000));
     }
 
     /** A late loop runs what is due in the order in which it was due, and what repeats runs once. */
     @Example
     void afterAStallTimersRunInOrderAndRepeatingOnesOnce() throws IOException {
         AtomicLong nanos = new AtomicLong();
-        Loop loop = new Loop(new Clock(Instant.EPOCH, nanos::get), failures::add);
+        Loop loop = new Loop(new Clock(() -> 0, nanos::get), failures::add);
         List<String> ran = new ArrayList<>();
         loop.in(Duration.ofMillis(30), () -> ran.add("b"));
         loop.in(Duration.ofMillis(20), () -> ran.add("a"));
