--- a/src/main/java/merlinlever/agent/Lines.java
+++ b/src/main/java/merlinlever/agent/Lines.java
@@ -5,17 +5,17 @@
 import java.util.function.Consumer;
 
 /** Cuts what is read into lines; the bytes of a line that is not whole are left, and not looked at twice. */
-final class Lines {
+public final class Lines {
 
     private final int longest;
     private int seen;
 
-    Lines(int longest) {
+    public Lines(int longest) {
         this.longest = longest;
     }
 
     /** Hands over each whole line without its end; says whether what is left may still become one. */
-    boolean take(ByteBuffer in, Consumer<String> taker) {
+    public boolean take(ByteBuffer in, Consumer<String> taker) {
         byte[] bytes = in.array();
         int start = in.position();
         for (int at = start + seen; at < in.limit(); at++) {
--- /dev/null
+++ b/src/main/java/merlinlever/cli/Rehearsal.java
@@ -0,0 +1,157 @@
+package merlinlever.cli;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import merlinlever.agent.Lines;
+import merlinlever.json.Json;
+import merlinlever.log.Log;
+import merlinlever.net.Clock;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Loop;
+
+/**
+ * Takes the program's own code through some operations before the first real one, on connections in memory and with
+ * everything of its own, so that the runtime has read and compiled it: on part of a core the first seconds of cold code
+ * cost a good part of the operations that came in them.
+ */
+final class Rehearsal {
+
+    private static final Duration LONGEST = Duration.ofMillis(2500);
+    private static final int OPERATIONS = 1500;
+    private static final int CALLERS = 6;
+    private static final InetSocketAddress AGENT = new InetSocketAddress(1);
+    private static final InetSocketAddress RECORDS = new InetSocketAddress(2);
+    private static final int BUFFER = 8 * 1024;
+
+    private final Map<String, String> given;
+    private final Loop loop;
+    private int asked;
+
+    /** What all stand-ins are: they say things on their connection, and what happens to it does not matter to them. */
+    private abstract static class StandIn implements Connection.Party {
+        private Connection connection;
+
+        @Override public void on(Connection mine) {
+            connection = mine;
+        }
+
+        void say(String text) {
+            connection.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
+        @Override public void ended(Ended how) {
+        }
+    }
+
+    /** Runs each operation at once, with a call in it where there is someone to call. */
+    private static final class Agent extends StandIn {
+        private final Lines lines = new Lines(BUFFER * 8);
+        private final boolean calls;
+        private int offset;
+
+        Agent(boolean calls) {
+            this.calls = calls;
+        }
+
+        @Override public void read(ByteBuffer in) {
+            lines.take(in, this::command);
+        }
+
+        private void command(String line) {
+            try {
+                Map<?, ?> command = Json.object(line);
+                String request = "\",\"offset\":" + (offset + 1) + ",\"req\":\"" + command.get("req") + "\",\"payload\":\"AQID\"";
+                switch (String.valueOf(command.get("cmd"))) {
+                    case "subscribe" -> say("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":1.5}\n");
+                    case "sample" -> say("{\"cmd\":\"sampled\",\"token\":\"" + command.get("token")
+                            + "\",\"load\":[0.1,0,0.1,9]}\n");
+                    case "launch" -> numbered(calls ? "{\"cmd\":\"request" + request : done(request));
+                    case "deliver" -> numbered(done(request));
+                    default -> {
+                    }
+                }
+            } catch (Json.Malformed e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private static String done(String request) {
+            return "{\"cmd\":\"outcome" + request + ",\"result\":\"OK\",\"elapsed_ms\":1.25";
+        }
+
+        private void numbered(String notice) {
+            offset++;
+            say(notice + "}\n");
+        }
+    }
+
+    /** Answers each call at once. */
+    private static final class Records extends StandIn {
+        @Override public void read(ByteBuffer in) {
+            String text = StandardCharsets.ISO_8859_1.decode(in.duplicate()).toString();
+            int end = text.indexOf("\r\n");
+            int length = end < 0 ? 0 : Integer.parseInt(text.substring(text.lastIndexOf(' ', end) + 1, end));
+            if (end >= 0 && text.length() >= end + 4 + length) {
+                in.position(in.limit());
+                say(text.substring(3, 19) + " DONE 3\r\nabc\r\n");
+            }
+        }
+    }
+
+    /** Asks for one operation after the other. */
+    private final class Caller extends StandIn {
+        @Override public void read(ByteBuffer in) {
+            // Answers come whole; the next message may follow each.
+            in.position(in.limit());
+            ask();
+        }
+
+        void ask() {
+            if (asked++ >= OPERATIONS) {
+                loop.stop();
+                return;
+            }
+            int tariffs = 0;
+            while (given.containsKey("tariffs." + tariffs + ".name")) {
+                tariffs++;
+            }
+            String at = "tariffs." + asked % tariffs + ".";
+            String token = given.getOrDefault(at + "kind", "").equals("fingerprinted")
+                    ? "Req-Token: " + String.format("%032x", asked) + "\r\n" : "";
+            say("POST /svc/" + given.get(at + "name") + " HTTP/1.1\r\nHost: rehearsal\r\nReq-Id: "
+                    + String.format("%016x", asked) + "\r\nReq-Time: " + System.currentTimeMillis()
+                    + "\r\nReq-From: 1\r\nReq-Wait-Ms: 5000\r\nReq-Cost: 1.25\r\nReq-Kb: 1.5\r\nReq-Rank: 0.5000\r\n" + token
+                    + "Content-Length: 3\r\n\r\nabc");
+        }
+    }
+
+    private Rehearsal(Map<String, String> given, boolean calls) {
+        this.given = given;
+        loop = new Loop(Clock.system(), failure -> { }, address -> address.equals(AGENT) ? new Agent(calls) : new Records());
+        Log unheard = new Log(new PrintStream(OutputStream.nullOutputStream()), Instant::now);
+        Assembly assembly = new Assembly(loop, given, 1, AGENT, RECORDS, 64, unheard);
+        for (int i = 0; i < CALLERS; i++) {
+            Caller caller = new Caller();
+            assembly.edge.take(user -> Connection.pair(loop, user, caller, BUFFER, 8 * BUFFER));
+            loop.in(Duration.ofMillis(5), caller::ask);
+        }
+        loop.in(LONGEST, loop::stop);
+    }
+
+    /** Returns how many operations it came to. */
+    static int run(Map<String, String> given, boolean calls) {
+        if (!given.containsKey("tariffs.0.name")) {
+            return 0;
+        }
+        Rehearsal rehearsal = new Rehearsal(given, calls);
+        rehearsal.loop.run();
+        return Math.min(rehearsal.asked, OPERATIONS);
+    }
+}
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -9,11 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import merlinlever.agent.AgentLink;
 import merlinlever.core.Backend;
-import merlinlever.core.Outside;
 import merlinlever.core.Stated;
-import merlinlever.core.Work;
 import merlinlever.directory.Reports;
 import merlinlever.http.EdgeNodes;
 import merlinlever.json.Json;
@@ -21,10 +18,9 @@
 import merlinlever.net.Clock;
 import merlinlever.net.HangUp;
 import merlinlever.net.Loop;
-import merlinlever.records.RecordsLink;
 
 /** One real backend: puts the parties round the core and runs until it is told to leave. */
-public final class Serve implements Outside {
+public final class Serve {
 
     private static final Duration REPORT = Duration.ofSeconds(1);
     private static final Duration COMPARE = Duration.ofSeconds(1);
@@ -60,18 +56,17 @@
 
     private final Map<String, String> environment;
     private final Log log;
-    private final Clock clock = Clock.system();
+    private final Clock clock;
     private final Loop loop;
     private final Map<String, String> given;
+    private final Assembly assembly;
     private final Backend backend;
-    private final AgentLink agent;
-    private final RecordsLink records;
     private final EdgeNodes edge;
     private final Reports reports;
     private final Duration stopAfter;
     private final boolean listFollows;
+    private final String rehearsed;
     private final CountDownLatch over = new CountDownLatch(1);
-    private Loop.Timer alarm;
 
     public Serve(Map<String, String> environment, Log log) throws Unusable {
         this.environment = environment;
@@ -89,20 +84,22 @@
         int sockets = (int) number(rest, "limits.sockets", 1024);
         int calls = Math.max(4, sockets / CALLS_PART);
         try {
-            loop = new Loop(clock, failure -> log.error("failed", failure));
-            backend = new Backend(given, seed(rest.get("seed")), this);
             Parties parties = Parties.of(rest);
-            agent = new AgentLink(loop, parties.agent(), backend, log);
-            records = new RecordsLink(loop, parties.records(), backend, log, calls);
+            long began = System.nanoTime();
+            int operations = Rehearsal.run(given, parties.records() != null);
+            rehearsed = "rehearsed with " + operations + " operations in " + (System.nanoTime() - began) / 1_000_000 + " ms";
+            clock = Clock.system();
+            loop = new Loop(clock, failure -> log.error("failed", failure));
+            assembly = new Assembly(loop, given, seed(rest.get("seed")), parties.agent(), parties.records(), calls, log);
+            backend = assembly.backend;
+            edge = assembly.edge;
             reports = new Reports(parties.lookup(), rest.getOrDefault("name", ""));
-            loop.after(() -> backend.settle(clock.now()));
-            edge = new EdgeNodes(loop, backend, given, listen, Math.max(16, sockets - OTHER_DESCRIPTORS - calls));
+            edge.listen(listen, Math.max(16, sockets - OTHER_DESCRIPTORS - calls));
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
         } catch (NumberFormatException e) {
             throw new Unusable("the settings hold what is no number: " + e.getMessage());
         }
-        agent.start();
         // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
         listFollows = Boolean.parseBoolean(given.get("server.readiness"));
         loop.every(REPORT, this::report);
@@ -164,6 +161,7 @@
             HangUp.handle(() -> serve.loop.execute(() -> serve.reread(READINGS)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> serve.leaveAndWait()));
             log.info("listening on " + serve.edge.address());
+            log.info(serve.rehearsed);
             try {
                 serve.loop.run();
             } finally {
@@ -181,8 +179,8 @@
         try {
             Parties parties = Parties.of(Json.flat(configuration()));
             log.info("configuration read again: " + parties);
-            agent.moveTo(parties.agent());
-            records.moveTo(parties.records());
+            assembly.agent.moveTo(parties.agent());
+            assembly.records.moveTo(parties.records());
             reports.moveTo(parties.lookup());
             report();
         } catch (Unusable e) {
@@ -220,53 +218,4 @@
             loop.stop();
         }
     }
-
-    // ---- what the core asks of the parties
-
-    @Override public void launch(Work work) {
-        agent.launch(work);
-    }
-
-    @Override public void freeze(Work work) {
-        agent.freeze(work);
-    }
-
-    @Override public void deliver(Work work, byte[] reply) {
-        agent.deliver(work, reply);
-    }
-
-    @Override public void forgo(Work work) {
-        agent.forgo(work);
-    }
-
-    @Override public boolean sample() {
-        return agent.sample();
-    }
-
-    @Override public void exercise() {
-        agent.exercise();
-    }
-
-    @Override public void call(Work work, Duration giveUpAfter) {
-        records.call(work, giveUpAfter);
-    }
-
-    @Override public void giveUp(Work work) {
-        records.giveUp(work);
-    }
-
-    @Override public void closeIdle(Duration after) {
-        edge.closeIdle(after);
-    }
-
-    @Override public void alarm(Duration at) {
-        if (alarm != null) {
-            alarm.callOff();
-        }
-        alarm = loop.in(at.minus(clock.now()), () -> backend.alarmed(clock.now()));
-    }
-
-    @Override public void log(String line) {
-        log.info(line);
-    }
 }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Function;
 import merlinlever.core.Backend;
 import merlinlever.core.Stated;
 import merlinlever.net.Clock;
@@ -31,16 +32,15 @@
     private final Loop loop;
     private final Backend backend;
     private final Fields fields;
-    private final Listener listener;
     private final Map<EdgeConnection.State, LinkedHashMap<EdgeConnection, Duration>> since =
             new EnumMap<>(EdgeConnection.State.class);
+    private Listener listener;
     private Duration closeIdle;
     private boolean closing;
     private double said = Double.NaN;
     private String level = "";
 
-    public EdgeNodes(Loop loop, Backend backend, Map<String, String> given, InetSocketAddress address,
-            int mostConnections) throws IOException {
+    public EdgeNodes(Loop loop, Backend backend, Map<String, String> given) {
         this.loop = loop;
         this.backend = backend;
         fields = new Fields(given);
@@ -48,17 +48,23 @@
             since.put(state, new LinkedHashMap<>());
         }
         closeIdle = Duration.ofMillis(FORGOTTEN * (long) Stated.number(given, "server.idle", 30_000));
-        listener = new Listener(loop, address, mostConnections, channel -> {
-            EdgeConnection edge = new EdgeConnection(this);
-            Connection made = Connection.accepted(loop, channel, edge, EdgeConnection.BUFFER,
-                    EdgeConnection.MOST_QUEUED);
-            edge.on(made);
-            made.readOn();
-        }, this::closeIdlest);
-        listener.accept();
         loop.every(SWEEP, this::sweep);
     }
 
+    public void listen(InetSocketAddress address, int mostConnections) throws IOException {
+        listener = new Listener(loop, address, mostConnections, channel -> take(user -> Connection.accepted(loop, channel,
+                user, EdgeConnection.BUFFER, EdgeConnection.MOST_QUEUED)), this::closeIdlest);
+        listener.accept();
+    }
+
+    /** Takes a connection, which is made round its user. */
+    public void take(Function<Connection.User, Connection> maker) {
+        EdgeConnection edge = new EdgeConnection(this);
+        Connection made = maker.apply(edge);
+        edge.on(made);
+        made.readOn();
+    }
+
     public InetSocketAddress address() throws IOException {
         return listener.address();
     }
@@ -113,7 +119,9 @@
 
     void gone(EdgeConnection edge, EdgeConnection.State from) {
         since.get(from).remove(edge);
-        listener.gone();
+        if (listener != null) {
+            listener.gone();
+        }
     }
 
     private void closeIdlest() {
--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -33,6 +33,12 @@
         void ended(Ended how);
     }
 
+    /** A party in this process, at the other end of a connection in memory. */
+    public interface Party extends User {
+        /** Called once, before anything else. */
+        void on(Connection mine);
+    }
+
     private static final int BUFFERS_A_WRITE = 16;
 
     private final Loop loop;
@@ -44,6 +50,9 @@
     private int queued;
     private boolean reading, taking, writing, asked, made;
     private Ended ended;
+    /** In memory: the other end, and what it has written and was not read here yet. */
+    private Connection other;
+    private final ArrayDeque<ByteBuffer> arriving = new ArrayDeque<>(0);
 
     private Connection(Loop loop, AsynchronousSocketChannel channel, User user, int readBuffer, int mostQueued) {
         this.loop = loop;
@@ -51,6 +60,10 @@
         this.user = user;
         this.mostQueued = mostQueued;
         in = ByteBuffer.allocate(readBuffer);
+        if (channel == null) {
+            made = true;
+            return;
+        }
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException e) {
@@ -66,9 +79,24 @@
         return connection;
     }
 
+    /** One in memory between two users on the loop; returns the end of the first. */
+    public static Connection pair(Loop loop, User user, Party party, int readBuffer, int mostQueued) {
+        Connection here = new Connection(loop, null, user, readBuffer, mostQueued);
+        here.other = new Connection(loop, null, party, readBuffer, mostQueued);
+        here.other.other = here;
+        party.on(here.other);
+        return here;
+    }
+
     /** Makes one; what is queued before it is made is written then. Its end comes later even if it fails at once. */
     public static Connection to(Loop loop, SocketAddress address, User user, int readBuffer, int mostQueued,
             Duration patience) throws IOException {
+        Party party = loop.party(address);
+        if (party != null) {
+            Connection here = pair(loop, user, party, readBuffer, mostQueued);
+            loop.execute(user::made);
+            return here;
+        }
         Connection connection = new Connection(loop, AsynchronousSocketChannel.open(loop.group()), user, readBuffer,
                 mostQueued);
         Loop.Timer late = loop.in(patience, () -> connection.notMade(Ended.NOT_MADE));
@@ -113,10 +141,27 @@
         if (reading || taking || ended != null || !made || !in.hasRemaining()) {
             return;
         }
+        if (other != null) {
+            arrive();
+            return;
+        }
         reading = true;
         channel.read(in, null, ON_READ);
     }
 
+    private void arrive() {
+        while (ended == null && !taking && !arriving.isEmpty() && in.hasRemaining()) {
+            ByteBuffer next = arriving.peek();
+            ByteBuffer part = next.slice(next.position(), Math.min(next.remaining(), in.remaining()));
+            next.position(next.position() + part.remaining());
+            in.put(part);
+            if (!next.hasRemaining()) {
+                arriving.poll();
+            }
+            take();
+        }
+    }
+
     /** Offers what has been read and was left. */
     public void readAgain() {
         if (!taking && ended == null && in.position() > 0) {
@@ -186,6 +231,14 @@
         if (writing || ended != null || out.isEmpty()) {
             return;
         }
+        if (other != null) {
+            other.arriving.addAll(out);
+            out.clear();
+            queued = 0;
+            loop.execute(other::readOn);
+            user.written();
+            return;
+        }
         writing = true;
         ByteBuffer[] some = out.stream().limit(BUFFERS_A_WRITE).toArray(ByteBuffer[]::new);
         channel.write(some, 0, some.length, 0, TimeUnit.SECONDS, null, ON_WRITTEN);
@@ -217,7 +270,7 @@
     /** Says to the other side that nothing more will be written. */
     public void writeNoMore() {
         try {
-            if (ended == null) {
+            if (ended == null && other == null) {
                 channel.shutdownOutput();
             }
         } catch (IOException e) {
@@ -233,10 +286,14 @@
         ended = how;
         out.clear();
         queued = 0;
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // It is gone either way.
+        if (other != null) {
+            loop.execute(() -> other.end(Ended.CLOSED_THERE));
+        } else {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // It is gone either way.
+            }
         }
         user.ended(how);
     }
--- a/src/main/java/merlinlever/net/Loop.java
+++ b/src/main/java/merlinlever/net/Loop.java
@@ -1,6 +1,7 @@
 package merlinlever.net;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * The one thread on which all completion handlers and timers run. What is ready is a batch; after each batch the
@@ -43,6 +45,7 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             Comparator.<Timer>comparingLong(t -> t.at).thenComparingLong(t -> t.order));
     private final AsynchronousChannelGroup group;
+    private final Function<SocketAddress, Connection.Party> parties;
     private List<Connection> unwritten = new ArrayList<>();
     private Runnable after = () -> { };
     private long timersSet;
@@ -52,6 +55,20 @@
         this.clock = clock;
         this.failures = failures;
         group = AsynchronousChannelGroup.withThreadPool(this);
+        parties = address -> null;
+    }
+
+    /** Without sockets: whatever is connected to on it is a party in this process. */
+    public Loop(Clock clock, Consumer<Throwable> failures, Function<SocketAddress, Connection.Party> parties) {
+        this.clock = clock;
+        this.failures = failures;
+        this.parties = parties;
+        group = null;
+    }
+
+    /** Who is at the address, if it is someone in this process. */
+    Connection.Party party(SocketAddress address) {
+        return parties.apply(address);
     }
 
     public AsynchronousChannelGroup group() {
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -77,6 +77,8 @@
         start(configuration());
         String line = program.inputReader().readLine();
         port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+        // Its own code has been gone through before the first operation, and nobody heard of it.
+        assertTrue(program.inputReader().readLine().matches(".*rehearsed with [1-9][0-9]* operations.*"));
         link(0);
     }
 
--- a/src/test/java/merlinlever/net/NetTest.java
+++ b/src/test/java/merlinlever/net/NetTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -132,6 +133,56 @@
         }
     }
 
+    /** In memory a connection carries bytes both ways, piece by piece where the buffer is small, and ends at both ends. */
+    @Example
+    void aConnectionInMemoryIsOneLikeAnyOther() {
+        StringBuilder there = new StringBuilder();
+        List<Ended> ends = new ArrayList<>();
+        Connection.Party party = new Connection.Party() {
+            private Connection mine;
+
+            @Override public void on(Connection connection) {
+                mine = connection;
+            }
+
+            @Override public void read(ByteBuffer in) {
+                while (in.hasRemaining()) {
+                    there.append((char) in.get());
+                }
+                if (there.length() == 26) {
+                    mine.write(ByteBuffer.wrap(new byte[] {1, 2}), ByteBuffer.wrap(new byte[] {3}));
+                }
+            }
+
+            @Override public void ended(Ended how) {
+                ends.add(how);
+            }
+        };
+        Loop loop = new Loop(Clock.system(), failures::add, address -> party);
+        ByteBuffer heard = ByteBuffer.allocate(3);
+        Connection here = Connection.pair(loop, new Connection.User() {
+            @Override public void read(ByteBuffer in) {
+                heard.put(in);
+            }
+
+            @Override public void ended(Ended how) {
+                ends.add(how);
+            }
+        }, party, 4, 100);
+        byte[] alphabet = "abcdefghijklmnopqrstuvwxyz".getBytes(StandardCharsets.US_ASCII);
+        loop.execute(() -> here.write(ByteBuffer.wrap(alphabet)));
+        loop.after(() -> {
+            if (!heard.hasRemaining()) {
+                here.end(Ended.IDLE);
+                loop.execute(loop::stop);
+            }
+        });
+        loop.run();
+        assertEquals("abcdefghijklmnopqrstuvwxyz", there.toString());
+        assertEquals(List.of(Ended.IDLE, Ended.CLOSED_THERE), ends);
+        assertEquals(List.of(), failures);
+    }
+
     /** What the other side does not take is bounded. */
     @Example
     void tooMuchThatWaitsEndsTheConnection() throws IOException {
