--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -13,13 +13,10 @@
 import java.util.stream.IntStream;
 
 /**
- * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why).
- *
- * <p>How it is called: the adapter makes one for each life of a server, handing over what is stated at start.
- * Each operation read goes to {@link #take}, which returns its handle ({@link Operation}); what happens later
- * is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
- * {@link #settle} returns what was decided ({@link Settled}) and when to look again. Times are spans since
- * the start. Nothing is shared between instances.
+ * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why). An adapter makes one
+ * for each life of a server. Each operation read goes to {@link #take}, which returns its handle; what happens
+ * later is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
+ * {@link #settle} returns what was decided and when to look again. Nothing is shared between instances.
  */
 public final class Control {
 
@@ -57,9 +54,9 @@
     private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
     // Completions that the capacity is learned from, at the most, before their weight is halved.
     private static final double ENOUGH = 32;
-    // Callers a core from which on idle connections are closed early; what the time to close changes by ten
-    // times a second, with a core free and with none.
+    // Callers a core from which on idle connections are closed early.
     private static final double MANY = 16;
+    // What the time to close changes by ten times a second, with a core free and with none.
     private static final double SOONER = 0.94;
     private static final double LATER = 1.02;
 
@@ -138,10 +135,8 @@
             soft = earlier(arrival.plus(tariff.softLimit).plus(millis(tariff.stretch * hintMs)), due);
         }
 
-        /**
-         * Its likely run time: by the hint under pressure only, or large ones were refused where is room;
-         * else at most half the soft limit, or a machine that was slow would never learn better.
-         */
+        // Its likely run time: by the hint under pressure only, or large ones were refused where is room;
+        // else at most half the soft limit, or a machine that was slow would never learn better.
         Duration usualRun() {
             boolean hinted = hintMs > 0 && tariff.perHint.total > 5 && avg >= MIN_TH;
             return hinted ? millis(hintMs * tariff.perHint.mean / 100) : earlier(
@@ -242,7 +237,7 @@
     private final Duration span;
     private final int runQueueAt;
     private final Duration grace, longestStayAway;
-    private final double valueOverShare, coldShare, coldMs, idleMs, callers;
+    private final double valueOverShare, coldShare, coldMs, idleMs, callers, servers;
     private final String says;
 
     private Settled next = new Settled();
@@ -291,6 +286,7 @@
         idleMs = number("server.idle", 30_000);
         closeIdleMs = idleMs / 10;
         callers = number("server.callers", 1);
+        servers = Math.max(1, number("servers", 1));
         valueOverShare = number("value-over-share", 1);
         coldShare = Boolean.parseBoolean(given.get("server.cold")) ? number("rules.cold-share", 0.2) : 1;
         coldMs = Math.max(1, number("rules.cold", 1));
@@ -301,8 +297,8 @@
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
         allowed = IntStream.iterate(0, i -> given.containsKey("tenants." + i + ".name"), i -> i + 1)
-                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9) * ms(span) / 1000
-                        / Math.max(1, number("servers", 1))).toArray();
+                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9) * ms(span) / 1000 / servers)
+                .toArray();
         tenantTries = new double[allowed.length];
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
         double most = tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
@@ -403,8 +399,7 @@
             case RUNNING -> onCores += sign;
             case AT_CALL -> atCalls += sign;
             case CALLING -> calling += sign;
-            default -> {
-            }
+            default -> { }
         }
     }
 
@@ -741,7 +736,9 @@
             }
         } else if (waits && !op.ran) {
             if (hung || reached(now.plus(op.usualRun()), op.soft)) {
-                pushBack(op, now, !hung, hung ? longestStayAway : Duration.ZERO);
+                // Too late for a slow server is not too late for each: the hint is for a standard core.
+                boolean late = reached(now.plus(op.hintMs > 0 ? millis(op.hintMs) : op.usualRun()), op.soft);
+                pushBack(op, now, !hung && late, hung ? longestStayAway : Duration.ZERO);
             }
         } else if (mayHalt && held > 0 && op.phase != Phase.SHARING && reached(now, op.soft)
                 && op.tariff.lateValue == 0) {
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import net.jqwik.api.Example;
 
@@ -209,4 +210,19 @@
         server.settle();
         assertTrue(server.last.shared.contains(third) || server.last.started.contains(third));
     }
+
+    /** On slow cores waiting work is given up early; on others it may still be done, as long as its hint leaves time. */
+    @Example
+    void whatIsTooLateForASlowServerMayBeTriedElsewhere() {
+        for (int hint : new int[] {0, 100, 900}) {
+            Server server = new Server().warmedUp(10, 800);
+            server.full();
+            Operation waiting = server.control().take(server.now, Server.LOOKUP, Duration.ZERO, null, 10,
+                    hint == 0 ? null : Server.millis(hint), -1, false, true, null);
+            for (int i = 0; i < 60 && !server.pushedBack(waiting); i++) {
+                server.after(10);
+            }
+            assertEquals(hint != 100, server.last.pushedBack.get(0).nowhereElse(), "hint " + hint);
+        }
+    }
 }
