--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -54,7 +54,7 @@
     private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
     // Completions that the capacity is learned from, at the most, before their weight is halved.
     private static final double ENOUGH = 32;
-    // Callers a core from which on idle connections are closed early.
+    // Callers a core from which on idle connections are closed early; servers that make a list long.
     private static final double MANY = 16;
     // What the time to close changes by ten times a second, with a core free and with none.
     private static final double SOONER = 0.94;
@@ -583,6 +583,10 @@
         return true;
     }
 
+    private boolean dear() {
+        return quickestRead > DEAR * cores * ms(span) / capacity();
+    }
+
     private boolean pastGrace(Op op) {
         return leaveAt != null && reached(op.arrival, leaveAt.plus(grace));
     }
@@ -608,13 +612,12 @@
             pushBack(op, now, false, leaving || hung ? longestStayAway : Duration.ZERO);
             return;
         }
-        boolean dear = quickestRead > DEAR * cores * ms(span) / capacity();
         // Work that cannot make its soft limit is waste.
         if (onCores >= cores && reached(ends.plus(millis(waiting * ms(span))), op.soft)) {
-            pushBack(op, now, op.again || dear, longestStayAway);
+            pushBack(op, now, op.again || dear(), longestStayAway);
         } else if (refuses(op)) {
             count = 0;
-            pushBack(op, now, op.again || dear, stayAway());
+            pushBack(op, now, op.again || dear(), stayAway());
         } else {
             count++;
             keepFor(op, now);
@@ -736,8 +739,9 @@
             }
         } else if (waits && !op.ran) {
             if (hung || reached(now.plus(op.usualRun()), op.soft)) {
-                // Too late for a slow server is not too late for each: the hint is for a standard core.
-                boolean late = reached(now.plus(op.hintMs > 0 ? millis(op.hintMs) : op.usualRun()), op.soft);
+                // Too late for a slow server is not too late for each, by the hint, but for a long dear walk.
+                boolean late = reached(now.plus(op.hintMs > 0 ? millis(op.hintMs) : op.usualRun()), op.soft)
+                        || servers > MANY && dear();
                 pushBack(op, now, !hung && late, hung ? longestStayAway : Duration.ZERO);
             }
         } else if (mayHalt && held > 0 && op.phase != Phase.SHARING && reached(now, op.soft)
