--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -203,10 +203,13 @@
                 move(this, Phase.RUNNING);
                 return;
             }
-            // Rule 2: a call that may have had its effect is not made again. Nor is one that was turned away:
-            // the edge node between has tried elsewhere, and a crowded tier is not helped by more calls.
+            // Rule 2: a call that may have had its effect is not made again, but for a retriable operation. Nor is
+            // one that was turned away or failed: the edge node between has tried elsewhere, and a crowded tier
+            // is not helped by more calls.
             move(this, Phase.AT_CALL);
-            if (how == Ending.UNREACHABLE && !calledAgain) {
+            boolean harmless = how == Ending.UNREACHABLE
+                    || how == Ending.CUT_OFF && tariff.kind == Kind.RETRIABLE;
+            if (harmless && !calledAgain) {
                 calledAgain = true;
             } else if (tariff.withoutCall > 0 && !answered) {
                 move(this, Phase.RUNNING);
@@ -244,20 +247,14 @@
     private final List<Op> hand = new ArrayList<>();
     private final ArrayDeque<Entry> past = new ArrayDeque<>();
     private final PriorityQueue<Entry> table = new PriorityQueue<>(Comparator.comparing(Entry::until));
-    private int held, onCores, atCalls, calling;
+    private int held, onCores, atCalls, calling, count, changeSince;
     private final double mostCalls, callsOverMs;
     private double callCap, callLoad;
-    private double usedKb;
-    private double avg;
-    private double quickestRead = 1e9;
+    private double usedKb, avg, runQueue, done, worked, quickestRead = 1e9;
     private Duration avgAt = Duration.ZERO;
-    private int count;
     private Duration clock = Duration.ZERO;
-    private double done, worked;
     private final double[] tenantTries, allowed;
-    private double runQueue;
     private double closeIdleMs, saidIdleMs;
-    private int changeSince;
     private Duration progress = Duration.ZERO;
     private Duration leaveAt, stopAt;
     private boolean hung;
@@ -415,8 +412,8 @@
             next.released.add(op);
         }
         promote(op, now);
-        if (!op.ran || op.sharable && op.end != Ending.OK) {
-            forget(op);
+        if ((!op.ran || op.sharable && op.end != Ending.OK) && strike(op)) {
+            next.forgotten.add(op);
         }
     }
 
@@ -481,12 +478,6 @@
         return kept;
     }
 
-    private void forget(Op op) {
-        if (strike(op)) {
-            next.forgotten.add(op);
-        }
-    }
-
     /** Rule 4: whether there is memory for the operation and for what has to be remembered of it. */
     private boolean roomFor(Op op) {
         return fits(op.tariff.kind == Kind.FINGERPRINTED || op.sharable ? fingerprintKb : 0);
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -114,8 +114,27 @@
         assertEquals(List.of(charge), server.settle().brokenOff, "once again, not for ever");
     }
 
+    /** A spoilt reply or a broken connection costs a retriable operation some time, not its outcome. */
+    @Example
+    void aCallOfARetriableOperationThatIsCutOffIsMadeAgainAndOnce() {
+        Operation lookup = called(Ending.CUT_OFF, Server.LOOKUP);
+        assertEquals(lookup, server.after(200).called.get(0).operation(), "twice harms nothing");
+        lookup.callEnded(server.now, Ending.CUT_OFF, Server.millis(0));
+        assertEquals(List.of(lookup), server.settle().brokenOff, "once again, not for ever");
+        lookup.ended(server.now, Ending.STOPPED);
+        for (Ending how : new Ending[] {Ending.ERROR, Ending.GIVEN_UP, Ending.TURNED_AWAY}) {
+            Operation other = called(how, Server.LOOKUP);
+            assertEquals(List.of(other), server.after(200).brokenOff, how + " may come of a crowded tier");
+            other.ended(server.now, Ending.STOPPED);
+        }
+    }
+
     private Operation called(Ending how) {
-        Operation charge = server.take(Server.CALLING);
+        return called(how, Server.CALLING);
+    }
+
+    private Operation called(Ending how, int tariff) {
+        Operation charge = server.take(tariff);
         server.settle();
         charge.reachedCall(server.now);
         assertEquals(charge, server.settle().called.get(0).operation());
