--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -733,7 +733,8 @@
                 // Too late for a slow server is not too late for each, by the hint, but for a long dear walk.
                 boolean late = reached(now.plus(op.hintMs > 0 ? millis(op.hintMs) : op.usualRun()), op.soft)
                         || servers > MANY && dear();
-                pushBack(op, now, !hung && late, hung ? longestStayAway : Duration.ZERO);
+                pushBack(op, now, !hung && late, hung ? longestStayAway
+                        : earlier(longestStayAway, millis(held * ms(span) / capacity())));
             }
         } else if (mayHalt && held > 0 && op.phase != Phase.SHARING && reached(now, op.soft)
                 && op.tariff.lateValue == 0) {
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -242,6 +242,9 @@
                 server.after(10);
             }
             assertEquals(hint != 100, server.last.pushedBack.get(0).nowhereElse(), "hint " + hint);
+            // One waits where ten end in a span of a second: so long, and not the longest, its caller stays away.
+            double away = Server.ms(server.last.pushedBack.get(0).stayAway());
+            assertTrue(away > 50 && away < 500, "stay away for " + away + " ms");
         }
     }
 }
