--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -197,8 +197,13 @@
             if (phase != Phase.CALLING) {
                 return;
             }
-            callCap = how == Ending.OK ? Math.min(mostCalls, callCap + 1 / callCap)
-                    : Math.max(Math.min(1, mostCalls), callCap * CALL_CUT);
+            if (how == Ending.OK) {
+                callCap = Math.min(mostCalls, callCap + 1 / callCap);
+            } else if (reached(now.minus(took), cutAt)) {
+                // Calls that were out together and fail together say one thing, once.
+                callCap = Math.max(Math.min(1, mostCalls), callCap * CALL_CUT);
+                cutAt = now;
+            }
             if (how == Ending.OK) {
                 move(this, Phase.RUNNING);
                 return;
@@ -255,7 +260,7 @@
     private Duration clock = Duration.ZERO;
     private final double[] tenantTries, allowed;
     private double closeIdleMs, saidIdleMs;
-    private Duration progress = Duration.ZERO;
+    private Duration progress = Duration.ZERO, cutAt = Duration.ZERO;
     private Duration leaveAt, stopAt;
     private boolean hung;
     private Boolean saidHealthy;
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -5,13 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 
 /** Each guard of the four rules and each failure met on the bench, by itself. */
 class GuardsTest {
 
-    private final Server server = new Server();
+    private Server server = new Server();
 
     @Example
     void aRunStillGoingIsBrokenOffAtItsClientTimeout() {
@@ -247,4 +248,38 @@
             assertTrue(away > 50 && away < 500, "stay away for " + away + " ms");
         }
     }
+
+    /** A server below that goes takes all its calls with it: that is one sign of a tier in trouble, and not one each. */
+    @Example
+    void callsThatWereOutTogetherCutTheirCapOnce() {
+        for (boolean together : new boolean[] {true, false}) {
+            server = new Server().with("rules.crowd-factor", "20");
+            server.after(1000);
+            List<Operation> out = out(10);
+            for (Operation operation : out) {
+                server.after(together ? 0 : 100);
+                operation.callEnded(server.now, Ending.TURNED_AWAY, Server.millis(together ? 50 : 0));
+            }
+            server.settle();
+            out.forEach(operation -> operation.ended(server.now, Ending.STOPPED));
+            // 32 at first; four fifths of that, or four fifths ten times over.
+            assertEquals(together ? 25 : 3, out(40).size(), together ? "cut once" : "cut each time");
+        }
+    }
+
+    /** So many operations brought to their calls, or as many as may call. */
+    private List<Operation> out(int count) {
+        List<Operation> out = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Operation operation = server.take(Server.CALLING);
+            if (server.settle().started.contains(operation)) {
+                operation.reachedCall(server.now);
+                server.control().look(server.now, new double[] {0, 0});
+                if (!server.settle().called.isEmpty()) {
+                    out.add(operation);
+                }
+            }
+        }
+        return out;
+    }
 }
