--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -13,10 +13,10 @@
 import java.util.stream.IntStream;
 
 /**
- * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why). An adapter makes one
- * for each life of a server. Each operation read goes to {@link #take}, which returns its handle; what happens
- * later is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After each batch
- * {@link #settle} returns what was decided and when to look again. Nothing is shared between instances.
+ * Decides, inside one server, what it takes, runs and turns away (docs/design.md says why). An adapter makes
+ * one for each life of a server. Each operation read goes to {@link #take}, which returns its handle; what
+ * happens later is a call on that. {@link #look} brings the gauges, {@link #leave} the notice to leave. After
+ * each batch {@link #settle} returns what was decided and when to look again. Instances share nothing.
  */
 public final class Control {
 
@@ -208,9 +208,9 @@
                 move(this, Phase.RUNNING);
                 return;
             }
-            // Rule 2: a call that may have had its effect is not made again, but for a retriable operation. Nor is
-            // one that was turned away or failed: the edge node between has tried elsewhere, and a crowded tier
-            // is not helped by more calls.
+            // Rule 2: a call that may have had its effect is not made again, but for a retriable operation.
+            // Nor is one that was turned away or failed: the edge node between has tried elsewhere, and a
+            // crowded tier is not helped by more calls.
             move(this, Phase.AT_CALL);
             boolean harmless = how == Ending.UNREACHABLE
                     || how == Ending.CUT_OFF && tariff.kind == Kind.RETRIABLE;
@@ -299,7 +299,8 @@
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
         allowed = IntStream.iterate(0, i -> given.containsKey("tenants." + i + ".name"), i -> i + 1)
-                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9) * ms(span) / 1000 / servers)
+                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9))
+                .map(perSecond -> perSecond * ms(span) / 1000 / servers)
                 .toArray();
         tenantTries = new double[allowed.length];
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
--- /dev/null
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -0,0 +1,100 @@
+package merlinlever.cli;
+
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import merlinlever.cli.zone.ZoneCommands;
+import merlinlever.sheet.Sheet;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * The command line beside {@code serve} and {@code wirehost}. A command ends with 0, with 1 where what was asked for did
+ * not hold, and with 2 where it was asked for wrongly.
+ */
+@Command(name = "merlinlever", mixinStandardHelpOptions = true, version = "merlinlever 0.2.0",
+        description = "Decides, inside each server of a fleet, what it takes, runs and turns away.",
+        synopsisSubcommandLabel = "COMMAND",
+        subcommands = {Commands.ServeHelp.class, Commands.WireHostHelp.class, ZoneCommands.class, Commands.SheetCommands.class})
+public final class Commands implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Listed here for the help; {@link Main} starts it without this class. */
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "Serve as one real backend, told by the file that GW_CONFIG names. Takes no arguments.")
+    static final class ServeHelp implements Callable<Integer> {
+        @Override public Integer call() {
+            return Serve.main(System.getenv());
+        }
+    }
+
+    @Command(name = "wirehost", mixinStandardHelpOptions = true,
+            description = "Host decision modules on the bench's wire (standard input and output). Takes no arguments.")
+    static final class WireHostHelp implements Callable<Integer> {
+        @Override public Integer call() throws java.io.IOException {
+            return new merlinlever.wire.WireHost(System.in, System.out, System.err).serve();
+        }
+    }
+
+    @Command(name = "config", mixinStandardHelpOptions = true, description = "The forms of configuration files.",
+            synopsisSubcommandLabel = "COMMAND")
+    static final class SheetCommands implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Override public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "Which command?");
+        }
+
+        @Command(name = "schema", mixinStandardHelpOptions = true,
+                description = "Print the JSON Schema that a configuration is checked against: zone-serve or zone-follow.")
+        int schema(@Parameters(paramLabel = "NAME", description = "zone-serve or zone-follow") String name) {
+            String text = Sheet.schema(name);
+            if (text == null) {
+                spec.commandLine().getErr().println("merlinlever: no schema " + name + "; there are "
+                        + String.join(", ", Sheet.SCHEMAS));
+                return 2;
+            }
+            PrintWriter out = spec.commandLine().getOut();
+            out.print(text);
+            out.flush();
+            return 0;
+        }
+
+        @Command(name = "check", mixinStandardHelpOptions = true,
+                description = "Check a configuration file against its schema; one line for each fault.")
+        int check(@Parameters(paramLabel = "NAME", description = "zone-serve or zone-follow") String name,
+                @Parameters(paramLabel = "FILE", description = "the file") java.nio.file.Path file) {
+            if (Sheet.schema(name) == null) {
+                return schema(name);
+            }
+            try {
+                Sheet.read(file, name);
+                spec.commandLine().getOut().println(file + ": good");
+                return 0;
+            } catch (Sheet.Unusable e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return 1;
+            }
+        }
+    }
+
+    @Override public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Which command?");
+    }
+
+    /** Runs what the arguments name and returns the exit status. */
+    public static int start(String... args) {
+        CommandLine line = new CommandLine(new Commands());
+        line.setExecutionExceptionHandler((failure, command, parsed) -> {
+            String said = failure.getMessage() == null ? failure.getClass().getSimpleName() : failure.getMessage();
+            command.getErr().println("merlinlever: " + said);
+            return 1;
+        });
+        return line.execute(args);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/cli/zone/package-info.java
@@ -0,0 +1,2 @@
+/** The commands about zones. */
+package merlinlever.cli.zone;
--- /dev/null
+++ b/src/main/java/merlinlever/sheet/Sheet.java
@@ -0,0 +1,256 @@
+package merlinlever.sheet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
+
+/** One configuration file that was found good: every value is of the type and in the range that its schema states. */
+public final class Sheet {
+
+    /** The names of all schemas. */
+    public static final List<String> SCHEMAS = List.of("zone-serve", "zone-follow");
+    private static final long MOST_BYTES = 1 << 20;
+    private static final int MOST_FAULTS = 50;
+
+    /** A file that cannot be used: one line for each fault, {@code FILE:LINE: reason}. */
+    public static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        public Unusable(String message) {
+            super(message);
+        }
+    }
+
+    private final Path file;
+    private final JsonNode values;
+    private final Map<String, Integer> lines;
+
+    private Sheet(Path file, JsonNode values, Map<String, Integer> lines) {
+        this.file = file;
+        this.values = values;
+        this.lines = lines;
+    }
+
+    /** The text of a schema, or null where there is none of that name. */
+    public static String schema(String name) {
+        if (!SCHEMAS.contains(name)) {
+            return null;
+        }
+        try (InputStream in = Sheet.class.getResourceAsStream("/schemas/" + name + ".json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static Sheet read(Path file, String schema) throws Unusable {
+        String text = text(file);
+        Map<String, Integer> lines = new HashMap<>();
+        JsonNode values = compose(file, text, lines);
+        Schema form = SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
+                .getSchema(schema(schema), InputFormat.JSON);
+        Map<Integer, List<String>> faults = new TreeMap<>();
+        for (Error fault : form.validate(values)) {
+            String at = fault.getInstanceLocation().toString();
+            String extra = fault.getProperty() != null ? at + "/" + fault.getProperty() : at;
+            int line = lines.getOrDefault(extra, lines.getOrDefault(at, 1));
+            faults.computeIfAbsent(line, l -> new ArrayList<>()).add(file + ":" + line + ": "
+                    + (at.isEmpty() ? "" : at.substring(1).replace('/', '.') + ": ") + plain(fault));
+        }
+        if (!faults.isEmpty()) {
+            throw new Unusable(String.join("\n", faults.values().stream().flatMap(List::stream).distinct().limit(MOST_FAULTS).toList()));
+        }
+        return new Sheet(file, values, lines);
+    }
+
+    private static String plain(Error fault) {
+        JsonNode form = fault.getSchemaNode();
+        return switch (String.valueOf(fault.getKeyword())) {
+            case "additionalProperties" -> "no key '" + fault.getProperty() + "' is known here";
+            case "required" -> "the key '" + fault.getProperty() + "' is missing";
+            case "pattern" -> fault.getMessage().replaceFirst("^.*?: ", "") + (form == null ? "" : " ");
+            default -> fault.getMessage().replaceFirst("^/[^:]*: ", "");
+        };
+    }
+
+    private static String text(Path file) throws Unusable {
+        try {
+            if (!Files.isRegularFile(file)) {
+                throw new Unusable(file + ": " + (Files.exists(file) ? "not a plain file" : "no such file"));
+            }
+            if (Files.size(file) > MOST_BYTES) {
+                throw new Unusable(file + ": over " + MOST_BYTES + " bytes");
+            }
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(Files.readAllBytes(file))).toString();
+        } catch (CharacterCodingException e) {
+            throw new Unusable(file + ": not UTF-8");
+        } catch (IOException e) {
+            throw new Unusable(file + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    private static JsonNode compose(Path file, String text, Map<String, Integer> lines) throws Unusable {
+        LoaderOptions bounds = new LoaderOptions();
+        bounds.setMaxAliasesForCollections(10);
+        bounds.setNestingDepthLimit(20);
+        try {
+            Node root = new Yaml(new SafeConstructor(bounds)).compose(new StringReader(text));
+            if (root == null) {
+                throw new Unusable(file + ":1: nothing in it");
+            }
+            return node(file, root, "", lines, 0);
+        } catch (MarkedYAMLException e) {
+            int line = e.getProblemMark() == null ? 1 : e.getProblemMark().getLine() + 1;
+            throw new Unusable(file + ":" + line + ": " + e.getProblem());
+        } catch (YAMLException e) {
+            throw new Unusable(file + ":1: " + e.getMessage().lines().findFirst().orElse("not YAML"));
+        }
+    }
+
+    private static JsonNode node(Path file, Node node, String path, Map<String, Integer> lines, int depth) throws Unusable {
+        int line = node.getStartMark().getLine() + 1;
+        lines.putIfAbsent(path, line);
+        if (depth > 20) {
+            throw new Unusable(file + ":" + line + ": nested too deeply");
+        }
+        JsonNodeFactory make = JsonNodeFactory.instance;
+        if (node instanceof MappingNode mapping) {
+            ObjectNode object = make.objectNode();
+            for (NodeTuple pair : mapping.getValue()) {
+                int at = pair.getKeyNode().getStartMark().getLine() + 1;
+                if (!(pair.getKeyNode() instanceof ScalarNode key)) {
+                    throw new Unusable(file + ":" + at + ": a key is one word");
+                }
+                String below = path + "/" + key.getValue();
+                if (object.has(key.getValue())) {
+                    throw new Unusable(file + ":" + at + ": the key '" + key.getValue() + "' comes twice");
+                }
+                lines.put(below, at);
+                object.set(key.getValue(), node(file, pair.getValueNode(), below, lines, depth + 1));
+            }
+            return object;
+        }
+        if (node instanceof SequenceNode sequence) {
+            ArrayNode array = make.arrayNode();
+            for (Node each : sequence.getValue()) {
+                array.add(node(file, each, path + "/" + array.size(), lines, depth + 1));
+            }
+            return array;
+        }
+        String value = ((ScalarNode) node).getValue();
+        Tag tag = node.getTag();
+        try {
+            return tag.equals(Tag.INT) ? make.numberNode(Long.decode(value.replace("_", "")))
+                    : tag.equals(Tag.FLOAT) ? make.numberNode(Double.parseDouble(value))
+                    : tag.equals(Tag.BOOL) ? make.booleanNode(List.of("true", "yes", "on").contains(value.toLowerCase(java.util.Locale.ROOT)))
+                    : tag.equals(Tag.NULL) ? make.nullNode() : make.textNode(value);
+        } catch (NumberFormatException e) {
+            return make.textNode(value);
+        }
+    }
+
+    // ---- what it says; the schema has seen to it that the types fit
+
+    public Path file() {
+        return file;
+    }
+
+    private JsonNode at(String path) {
+        return values.at(path.isEmpty() ? "" : "/" + path.replace('.', '/'));
+    }
+
+    public boolean has(String path) {
+        return !at(path).isMissingNode() && !at(path).isNull();
+    }
+
+    public String text(String path, String absent) {
+        return has(path) ? at(path).asText() : absent;
+    }
+
+    public long number(String path, long absent) {
+        return has(path) ? at(path).asLong() : absent;
+    }
+
+    /** A span such as 250ms, 3s, 5m or 1h. */
+    public Duration span(String path, Duration absent) {
+        if (!has(path)) {
+            return absent;
+        }
+        String text = at(path).asText();
+        int unit = 0;
+        while (unit < text.length() && Character.isDigit(text.charAt(unit))) {
+            unit++;
+        }
+        long count = Long.parseLong(text.substring(0, unit));
+        return switch (text.substring(unit)) {
+            case "ms" -> Duration.ofMillis(count);
+            case "s" -> Duration.ofSeconds(count);
+            case "m" -> Duration.ofMinutes(count);
+            default -> Duration.ofHours(count);
+        };
+    }
+
+    /** A share such as 50%, from 0 to 1. */
+    public double share(String path, double absent) {
+        return has(path) ? Double.parseDouble(at(path).asText().replace("%", "")) / 100 : absent;
+    }
+
+    /** A path; a relative one is relative to this file. */
+    public Path path(String path, String absent) {
+        Path folder = file.toAbsolutePath().getParent();
+        return folder.resolve(text(path, absent)).normalize();
+    }
+
+    public int size(String path) {
+        return has(path) ? at(path).size() : 0;
+    }
+
+    public List<String> texts(String path) {
+        List<String> texts = new ArrayList<>();
+        at(path).forEach(each -> texts.add(each.asText()));
+        return texts;
+    }
+
+    /** The keys of a mapping with their values as text, in the order of the file. */
+    public Map<String, String> pairs(String path) {
+        Map<String, String> pairs = new java.util.LinkedHashMap<>();
+        at(path).properties().forEach(each -> pairs.put(each.getKey(), each.getValue().asText()));
+        return pairs;
+    }
+
+    /** What is wrong with a value beyond its form, in the same one line as the schema's faults. */
+    public Unusable fault(String path, String reason) {
+        return new Unusable(file + ":" + lines.getOrDefault("/" + path.replace('.', '/'), 1) + ": " + path + ": " + reason);
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/cli/CommandsTest.java
@@ -0,0 +1,27 @@
+package merlinlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class CommandsTest {
+
+    @Test void wrongUseIsStatusTwo() {
+        assertEquals(2, Commands.start());
+        assertEquals(2, Commands.start("nothing-of-the-kind"));
+        assertEquals(2, Commands.start("zone"));
+        assertEquals(2, Commands.start("config", "schema", "unknown"));
+        assertEquals(2, Commands.start("serve", "argument"));
+    }
+
+    @Test void helpIsThereOnEveryLevel() {
+        for (String[] at : new String[][] {{"--help"}, {"zone", "--help"}, {"config", "schema", "--help"}, {"serve", "--help"}}) {
+            assertEquals(0, Commands.start(at));
+        }
+        assertEquals(0, Commands.start("config", "schema", "zone-serve"));
+    }
+
+    @Test void aBadFileIsStatusOne() {
+        assertEquals(1, Commands.start("config", "check", "zone-serve", "/nonexistent/file.yaml"));
+    }
+}
