--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -50,8 +50,8 @@
     private static final double HANG_RUNS_ALONE = 6;
     // Part of the difference by which the quickest reading seen is forgotten with each arrival.
     private static final double FORGET = 0.002;
-    // No repeat is read later than this after it came; until then its original is known.
-    private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
+    // Unless stated, no repeat is read later (ms) than this after it came; until then its original is known.
+    private static final double LONGEST_UNREAD = 30_000;
     // Completions that the capacity is learned from, at the most, before their weight is halved.
     private static final double ENOUGH = 32;
     // Callers a core from which on idle connections are closed early; servers that make a list long.
@@ -244,7 +244,7 @@
     private final boolean mayHalt;
     private final Duration span;
     private final int runQueueAt;
-    private final Duration grace, longestStayAway;
+    private final Duration grace, longestStayAway, longestUnread;
     private final double valueOverShare, coldShare, coldMs, idleMs, callers, servers;
     private final String says;
 
@@ -283,6 +283,7 @@
         fresh = span("server.fresh-for", 0);
         mayHalt = !given.getOrDefault("server.halt", "none").equals("none");
         grace = span("rules.drain-grace", 0);
+        longestUnread = span("rules.longest-unread", LONGEST_UNREAD);
         longestStayAway = Boolean.parseBoolean(given.get("limits.stay-away"))
                 ? span("limits.longest-stay-away", 0) : Duration.ZERO;
         idleMs = number("server.idle", 30_000);
@@ -413,7 +414,7 @@
         move(op, Phase.OVER);
         // Nothing names again what never ran; kept, a flood of pushbacks would fill the process's memory.
         if (op.ran) {
-            past.add(new Entry(op, now.plus(op.tariff.window).plus(LONGEST_UNREAD)));
+            past.add(new Entry(op, now.plus(op.tariff.window).plus(longestUnread)));
         } else {
             next.released.add(op);
         }
--- /dev/null
+++ b/src/main/java/merlinlever/zone/front/Caller.java
@@ -0,0 +1,16 @@
+package merlinlever.zone.front;
+
+import java.util.function.Consumer;
+
+/** Where one message came from and its answer goes. */
+public interface Caller {
+
+    /** Whether the answer goes in one datagram. */
+    boolean datagram();
+
+    /** The one answer. */
+    void answer(byte[] octets);
+
+    /** An answer of many messages, of which the next is wanted whenever there is room; tells whether all have left. */
+    void answer(Transfer transfer, Consumer<Boolean> done);
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/front/Desk.java
@@ -0,0 +1,528 @@
+package merlinlever.zone.front;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import merlinlever.Ending;
+import merlinlever.Operation;
+import merlinlever.core.Conductor;
+import merlinlever.core.Port;
+import merlinlever.zone.record.Malformed;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.record.Types;
+import merlinlever.zone.state.Difference;
+import merlinlever.zone.state.Entry;
+import merlinlever.zone.state.Lookup;
+import merlinlever.zone.state.Serial;
+import merlinlever.zone.state.Update;
+import merlinlever.zone.state.Zone;
+import merlinlever.zone.wire.Message;
+import merlinlever.zone.wire.Tsig;
+
+/**
+ * Follows each message from its reading to its one answer. What is taken, begun and turned away the decision module
+ * says: a query is retriable, an update fingerprinted, a transfer retriable; an update's way to the disk and a transfer's
+ * way to its reader are the calls that they make.
+ */
+public final class Desk implements Port<Asked> {
+
+    /** What is stated to the module of the front. */
+    public record Stated(double memoryMb, Duration grace, boolean queriesDecided, long seed) {
+    }
+
+    /** Begun in one go; the module looks again behind each. Calls in hand are four times as many at the most. */
+    private static final int IN_ONE_GO = 16;
+    /** Seconds on either side of its time in which a signed message can come again. */
+    public static final long REPLAY = 2L * Tsig.FUDGE;
+    /** What remembering one update takes here, with its repeats. */
+    private static final double KB_PER_UPDATE = 0.5;
+    private static final int SERVFAIL_FROM_DISK = -1;
+
+    private final Map<Octets, Served> zones = new HashMap<>();
+    private final Tsig.Keys keys;
+    private final LongSupplier unix;
+    private final Answers answers;
+    private final Conductor<Asked> conductor;
+    private final boolean queriesDecided;
+    private final Consumer<String> log;
+    private final Consumer<Duration> alarm;
+    private final Counts counts;
+    private final Map<Object, Asked> byMark = new HashMap<>();
+    private Duration now = Duration.ZERO;
+    private boolean touched;
+    private int inHand;
+
+    /** Octets as a key of a map. */
+    private record Octets(byte[] octets) {
+        @Override public boolean equals(Object other) {
+            return other instanceof Octets name && Arrays.equals(octets, name.octets);
+        }
+
+        @Override public int hashCode() {
+            return Arrays.hashCode(octets);
+        }
+    }
+
+    /**
+     * @param unix seconds of the Unix clock
+     * @param alarm is told when {@link #alarmed} is wanted
+     */
+    public Desk(List<Served> served, Tsig.Keys keys, Stated stated, LongSupplier unix, Consumer<String> log,
+            Consumer<Duration> alarm, Counts counts) {
+        served.forEach(zone -> zones.put(new Octets(zone.origin()), zone));
+        this.keys = keys;
+        this.unix = unix;
+        this.log = log;
+        this.alarm = alarm;
+        this.counts = counts;
+        answers = new Answers(unix);
+        queriesDecided = stated.queriesDecided;
+        conductor = new Conductor<>(given(stated), stated.seed, this);
+        touched = true;
+    }
+
+    private static Map<String, String> given(Stated stated) {
+        Map<String, String> given = new HashMap<>();
+        given.put("server.cores", "" + IN_ONE_GO);
+        given.put("server.gauges", "run-queue");
+        given.put("server.memory-kb", "" + stated.memoryMb * 1024);
+        given.put("server.run-factor", "1");
+        given.put("server.kb-per-fingerprint", "" + KB_PER_UPDATE);
+        given.put("rules.drain-grace", "" + stated.grace.toMillis());
+        // Runs that wait for the disk or a reader take no core: many are no crowd.
+        given.put("rules.crowd-factor", "8");
+        given.put("rules.longest-unread", "0");
+        given.put("limits.stay-away", "true");
+        given.put("limits.longest-stay-away", "2000");
+        tariff(given, Asked.Kind.QUERY, "retriable", 1, 500, 2_000, 0);
+        tariff(given, Asked.Kind.UPDATE, "fingerprinted", 8, 2_000, 5_000, REPLAY * 1000);
+        tariff(given, Asked.Kind.TRANSFER, "retriable", 2, 5_000, 60_000, 0);
+        return given;
+    }
+
+    private static void tariff(Map<String, String> given, Asked.Kind kind, String how, int value, long softMs, long timeoutMs,
+            long windowMs) {
+        String at = "tariffs." + kind.ordinal() + ".";
+        given.put(at + "name", kind.name());
+        given.put(at + "kind", how);
+        given.put(at + "value", "" + value);
+        given.put(at + "soft-limit", "" + softMs);
+        given.put(at + "client-timeout", "" + timeoutMs);
+        given.put(at + "late-value", "0.2");
+        given.put(at + "window", "" + windowMs);
+    }
+
+    /** Messages that are read and not yet answered. */
+    public int inHand() {
+        return inHand;
+    }
+
+    // ---- what happens
+
+    /** A message was read. Returns it where it is in hand from now on, null where it was answered on the spot. */
+    Asked came(Duration at, byte[] octets, Duration waited, Caller caller) {
+        now = at;
+        if (Message.id(octets) < 0 || (Message.flags(octets) & Message.RESPONSE) != 0) {
+            // Nothing to answer to, or an answer: two servers would talk to each other for ever.
+            counts.dropped();
+            return null;
+        }
+        Message message;
+        Tsig.Verdict signed = null;
+        try {
+            message = Message.read(octets);
+            if (message.signature() != null) {
+                signed = Tsig.verify(message, keys, unix.getAsLong(), null);
+            }
+        } catch (Malformed e) {
+            counts.malformed();
+            caller.answer(Answers.malformed(octets));
+            return null;
+        }
+        if (signed != null && signed.error() != 0) {
+            return told(caller, message, signed, Update.NOTAUTH);
+        }
+        if (message.edns() != null && message.edns().version() > 0) {
+            caller.answer(answers.unknownEdns(message, signed));
+            return null;
+        }
+        return switch (message.operation()) {
+            case Message.QUERY -> query(message, signed, waited, caller);
+            case Message.UPDATE -> update(message, signed, waited, caller);
+            // This front has no primary that could have news for it.
+            case Message.NOTIFY -> told(caller, message, signed, Update.REFUSED);
+            default -> told(caller, message, signed, Update.NOTIMP);
+        };
+    }
+
+    private Asked told(Caller caller, Message message, Tsig.Verdict signed, int code) {
+        counts.told(code);
+        caller.answer(answers.code(message, signed, code));
+        return null;
+    }
+
+    private Asked query(Message message, Tsig.Verdict signed, Duration waited, Caller caller) {
+        if (!message.asks() || (message.flags() & Message.TRUNCATED) != 0) {
+            return told(caller, message, signed, Update.FORMERR);
+        }
+        Served zone = message.dclass() == Types.IN || message.dclass() == Types.CLASS_ANY ? closest(message.name()) : null;
+        if (message.type() == Types.AXFR || message.type() == Types.IXFR) {
+            if (zone == null || !Arrays.equals(zone.origin(), message.name())) {
+                return told(caller, message, signed, Update.NOTAUTH);
+            }
+            if (signed == null || !zone.mayTransfer(signed.key().name())) {
+                return told(caller, message, signed, Update.REFUSED);
+            }
+            if (message.type() == Types.AXFR && caller.datagram()
+                    || message.type() == Types.IXFR && (message.authority().size() != 1 || message.authority().get(0).type() != Types.SOA)) {
+                return told(caller, message, signed, Update.FORMERR);
+            }
+            return take(new Asked(Asked.Kind.TRANSFER, zone, message, signed, caller), waited, null);
+        }
+        if (zone == null) {
+            return told(caller, message, signed, Update.REFUSED);
+        }
+        if (message.type() != Types.ANY && Types.meta(message.type())) {
+            return told(caller, message, signed, Update.NOTIMP);
+        }
+        Asked asked = new Asked(Asked.Kind.QUERY, zone, message, signed, caller);
+        if (!queriesDecided) {
+            caller.answer(answers.found(message, signed, Lookup.find(zone.zone(), message.name(), message.type()), caller.datagram()));
+            counts.satisfied(Asked.Kind.QUERY);
+            return null;
+        }
+        return take(asked, waited, null);
+    }
+
+    /** The zone that the name is in, the deepest of them. */
+    private Served closest(byte[] name) {
+        for (byte[] at = name;; at = Names.parent(at)) {
+            Served zone = zones.get(new Octets(at));
+            if (zone != null || at.length == 1) {
+                return zone;
+            }
+        }
+    }
+
+    private Asked update(Message message, Tsig.Verdict signed, Duration waited, Caller caller) {
+        if (!message.asks() || message.type() != Types.SOA) {
+            return told(caller, message, signed, Update.FORMERR);
+        }
+        Served zone = message.dclass() == Types.IN ? zones.get(new Octets(message.name())) : null;
+        if (zone == null) {
+            return told(caller, message, signed, Update.NOTAUTH);
+        }
+        if (signed == null || !zone.mayUpdate(signed.key().name())) {
+            return told(caller, message, signed, Update.REFUSED);
+        }
+        byte[] mark = mark(message.octets());
+        Octets key = new Octets(mark);
+        Asked original = byMark.get(key);
+        if (original == null && zone.replays().known(mark)) {
+            // Done in an earlier life of this server; its answer may have been lost with that.
+            return told(caller, message, signed, Update.NOERROR);
+        }
+        Asked asked = new Asked(Asked.Kind.UPDATE, zone, message, signed, caller);
+        asked.mark = key;
+        asked.markOctets = mark;
+        if (original == null) {
+            byMark.put(key, asked);
+        }
+        return take(asked, waited, original);
+    }
+
+    private static byte[] mark(byte[] octets) {
+        try {
+            return Arrays.copyOf(MessageDigest.getInstance("SHA-256").digest(octets), 16);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Asked take(Asked asked, Duration waited, Asked original) {
+        touched = true;
+        inHand++;
+        counts.taken(asked.kind);
+        asked.repeats = original;
+        Operation taken = conductor.control().take(now, asked.kind.ordinal(), waited, null,
+                1 + asked.message.octets().length / 1024.0, null, -1, false, false, original == null ? null : original.handle);
+        asked.handle = conductor.know(taken, asked);
+        return asked;
+    }
+
+    /** Its connection is over: nobody waits for the answer. */
+    void callerGone(Duration at, Asked asked) {
+        if (!asked.answered) {
+            now = at;
+            touched = true;
+            over(asked);
+            asked.handle.callerGone(at);
+            endUncalled(asked);
+        }
+    }
+
+    /** It stands before its call, which is not made any more: nothing of it was done. */
+    private void endUncalled(Asked asked) {
+        if (asked.begun && !asked.calling && asked.code == Asked.OPEN) {
+            asked.code = Update.SERVFAIL;
+            touched = true;
+            asked.handle.ended(now, Ending.ERROR);
+            asked.sharers.forEach(this::failed);
+            asked.sharers = List.of();
+        }
+    }
+
+    public void alarmed(Duration at) {
+        now = at;
+        touched = true;
+        conductor.alarmed();
+        // All that runs, runs to its end or to its call within a batch: nothing waits for a core between them.
+        conductor.control().look(at, new double[] {0});
+    }
+
+    /** The notice to leave. */
+    public void leave(Duration at, Duration stop) {
+        now = at;
+        touched = true;
+        conductor.control().leave(at, stop);
+    }
+
+    /** After each batch: settles as often as something has happened since. */
+    public void settle(Duration at) {
+        while (touched) {
+            touched = false;
+            now = at;
+            conductor.settle(at);
+        }
+    }
+
+    // ---- answers
+
+    private Caller over(Asked asked) {
+        Caller caller = asked.caller;
+        asked.answered = true;
+        asked.caller = null;
+        inHand--;
+        return caller;
+    }
+
+    private void answer(Asked asked, int code) {
+        if (!asked.answered) {
+            Message message = asked.message;
+            Tsig.Verdict signed = asked.signed;
+            over(asked).answer(answers.code(message, signed, code));
+        }
+    }
+
+    private void finish(Asked asked, int code) {
+        if (asked.code != Asked.OPEN) {
+            return;
+        }
+        touched = true;
+        asked.code = code;
+        counts.satisfied(asked.kind);
+        answer(asked, code);
+        letGo(asked);
+        asked.handle.ended(now, Ending.OK);
+        asked.sharers.forEach(sharer -> finish(sharer, code));
+        asked.sharers = List.of();
+    }
+
+    /** What the octets of its message were for is over. */
+    private static void letGo(Asked asked) {
+        asked.message = null;
+        asked.signed = null;
+    }
+
+    // ---- what the module decides
+
+    @Override public void start(Asked asked) {
+        asked.begun = true;
+        touched = true;
+        if (asked.kind == Asked.Kind.QUERY) {
+            if (!asked.answered) {
+                Message message = asked.message;
+                Tsig.Verdict signed = asked.signed;
+                Lookup.Answer found = Lookup.find(asked.zone.zone(), message.name(), message.type());
+                Caller caller = over(asked);
+                caller.answer(answers.found(message, signed, found, caller.datagram()));
+                counts.satisfied(asked.kind);
+            }
+            asked.code = Update.NOERROR;
+            letGo(asked);
+            asked.handle.ended(now, Ending.OK);
+        } else {
+            asked.handle.reachedCall(now);
+        }
+    }
+
+    @Override public void call(Asked asked, Duration giveUpAfter) {
+        asked.calling = true;
+        Duration calledAt = now;
+        if (asked.kind == Asked.Kind.TRANSFER) {
+            transfer(asked, calledAt);
+            return;
+        }
+        List<Entry> prerequisites = asked.message.answers();
+        List<Entry> changes = asked.message.authority();
+        asked.zone.update(unix.getAsLong(), asked.markOctets, prerequisites, changes, code -> {
+            asked.calling = false;
+            touched = true;
+            if (code == SERVFAIL_FROM_DISK) {
+                // Taken back from the journal: it has not run, and was not asked to again.
+                asked.code = Update.SERVFAIL;
+                asked.handle.callEnded(now, Ending.TURNED_AWAY, now.minus(calledAt));
+                asked.handle.ended(now, Ending.ERROR);
+                repeatsUnkept(asked);
+                asked.sharers.forEach(sharer -> failed(sharer));
+                asked.sharers = List.of();
+            } else {
+                asked.handle.callEnded(now, Ending.OK, now.minus(calledAt));
+                finish(asked, code);
+            }
+        });
+    }
+
+    private void failed(Asked sharer) {
+        answer(sharer, Update.SERVFAIL);
+        sharer.code = Update.SERVFAIL;
+        sharer.handle.ended(now, Ending.ERROR);
+    }
+
+    private void transfer(Asked asked, Duration calledAt) {
+        if (asked.answered) {
+            asked.calling = false;
+            touched = true;
+            asked.handle.callEnded(now, Ending.OK, Duration.ZERO);
+            asked.handle.ended(now, Ending.OK);
+            return;
+        }
+        Message message = asked.message;
+        Zone zone = asked.zone.zone();
+        Transfer transfer;
+        if (message.type() == Types.IXFR) {
+            long theirs = Zone.serial(message.authority().get(0).data());
+            List<Difference> since = Serial.after(zone.serial(), theirs) ? asked.zone.history().since(theirs) : List.of();
+            int records = since == null ? Integer.MAX_VALUE : since.stream().mapToInt(Difference::records).sum();
+            // A history longer than the zone is no help.
+            transfer = records > zone.records() + 2 && !List.of().equals(since) ? Transfer.whole(message, asked.signed, unix, zone)
+                    : Transfer.since(message, asked.signed, unix, zone, since);
+            if (asked.caller.datagram() && records > 0) {
+                transfer = Transfer.since(message, asked.signed, unix, zone, List.of());
+            }
+        } else {
+            transfer = Transfer.whole(message, asked.signed, unix, zone);
+        }
+        asked.caller.answer(transfer, well -> {
+            asked.calling = false;
+            touched = true;
+            if (!asked.answered) {
+                over(asked);
+                counts.satisfied(asked.kind);
+            }
+            asked.handle.callEnded(now, Ending.OK, now.minus(calledAt));
+            asked.code = Update.NOERROR;
+            letGo(asked);
+            asked.handle.ended(now, Ending.OK);
+        });
+    }
+
+    @Override public void pushBack(Asked asked, boolean nowhereElse, Duration stayAway) {
+        if (!asked.answered) {
+            counts.pushedBack(asked.kind);
+            Message message = asked.message;
+            Tsig.Verdict signed = asked.signed;
+            over(asked).answer(answers.pushedBack(message, signed, stayAway));
+        }
+        repeatsUnkept(asked);
+    }
+
+    @Override public void breakOff(Asked asked) {
+        if (!asked.answered) {
+            counts.brokenOff(asked.kind);
+            if (asked.kind == Asked.Kind.TRANSFER && asked.calling) {
+                // Part of the answer has left; what shows that no more comes is the end of the connection.
+                over(asked).answer((byte[]) null);
+            } else {
+                answer(asked, Update.SERVFAIL);
+            }
+        }
+        endUncalled(asked);
+        repeatsUnkept(asked);
+    }
+
+    /** What never ran and was never kept is not to be found by a repeat. */
+    private void repeatsUnkept(Asked asked) {
+        if (!asked.begun) {
+            forget(asked);
+            letGo(asked);
+        }
+    }
+
+    @Override public void share(Asked asked) {
+        Asked original = asked.repeats;
+        while (original != null && !original.begun && original.repeats != null) {
+            original = original.repeats;
+        }
+        if (original == null || !original.begun) {
+            original = byMark.get(asked.mark);
+        }
+        if (original == null || original == asked) {
+            failed(asked);
+            touched = true;
+        } else if (original.code == Asked.OPEN) {
+            original.sharedBy(asked);
+        } else {
+            finish(asked, original.code);
+        }
+    }
+
+    @Override public void forget(Asked asked) {
+        if (asked.mark != null) {
+            byMark.remove(asked.mark, asked);
+        }
+    }
+
+    @Override public void keep(Asked asked, Duration span) {
+        // Entered when it came; the module says when it may go.
+        byMark.put(asked.mark, asked);
+    }
+
+    @Override public void release(Asked asked) {
+        forget(asked);
+    }
+
+    @Override public void omit(Asked asked) {
+        // No tariff here has a value without its call.
+    }
+
+    @Override public void halt(Asked asked) {
+        // Nothing here can be stopped half way.
+    }
+
+    @Override public void level(double level) {
+        // The protocol has no place for it.
+    }
+
+    @Override public void health(boolean good) {
+        counts.healthy(good);
+    }
+
+    @Override public void closeIdle(Duration after) {
+        // Connections are few and closed by their own time.
+    }
+
+    @Override public void log(String line) {
+        log.accept(line);
+    }
+
+    @Override public void alarm(Duration at) {
+        alarm.accept(at);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/front/Front.java
@@ -0,0 +1,135 @@
+package merlinlever.zone.front;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import merlinlever.net.Connection;
+import merlinlever.net.Datagrams;
+import merlinlever.net.Listener;
+import merlinlever.net.Loop;
+import merlinlever.zone.wire.Message;
+import merlinlever.zone.wire.Tsig;
+
+/** The sockets round the desk: datagrams and connections on one address. */
+public final class Front {
+
+    private static final Duration LOOK = Duration.ofMillis(250);
+    private static final int BINDINGS = 20;
+
+    private final Loop loop;
+    private final Desk desk;
+    private final Datagrams datagrams;
+    private final Listener listener;
+    private final Set<Stream> streams = new LinkedHashSet<>();
+    private final List<Served> zones;
+    private Loop.Timer alarm;
+
+    /** @param connections open at once at the most */
+    public Front(Loop loop, InetSocketAddress address, int connections, List<Served> zones, Tsig.Keys keys, Desk.Stated stated,
+            LongSupplier unix, Consumer<String> log, Counts counts) throws IOException {
+        this.loop = loop;
+        this.zones = zones;
+        desk = new Desk(zones, keys, stated, unix, log, this::alarm, counts);
+        IOException failure = null;
+        Listener listening = null;
+        Datagrams taking = null;
+        for (int i = 0; i < BINDINGS && taking == null; i++) {
+            listening = new Listener(loop, address, connections, this::accepted, this::makeRoom);
+            try {
+                // A free port is to be free for both.
+                taking = new Datagrams(loop, listening.address(), Message.MOST, this::came);
+            } catch (IOException e) {
+                listening.close();
+                failure = e;
+                if (address.getPort() != 0) {
+                    break;
+                }
+            }
+        }
+        if (taking == null) {
+            throw failure;
+        }
+        listener = listening;
+        datagrams = taking;
+        listener.accept();
+        loop.after(() -> desk.settle(loop.clock().now()));
+        loop.every(LOOK, () -> List.copyOf(streams).forEach(stream -> stream.look(loop.clock().now())));
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    private void alarm(Duration at) {
+        if (alarm != null) {
+            alarm.callOff();
+        }
+        alarm = loop.in(at.minus(loop.clock().now()), () -> desk.alarmed(loop.clock().now()));
+    }
+
+    private void came(byte[] octets, InetSocketAddress from, Duration waited) {
+        desk.came(loop.clock().now(), octets, waited, new Caller() {
+            @Override public boolean datagram() {
+                return true;
+            }
+
+            @Override public void answer(byte[] answer) {
+                if (answer != null) {
+                    datagrams.send(answer, from);
+                }
+            }
+
+            @Override public void answer(Transfer transfer, Consumer<Boolean> done) {
+                // By a datagram only the newest version's SOA is told (RFC 1995 section 2).
+                datagrams.send(transfer.next(), from);
+                done.accept(true);
+            }
+        });
+    }
+
+    private void accepted(AsynchronousSocketChannel channel) {
+        Stream stream = new Stream(loop, desk, this::gone);
+        streams.add(stream);
+        stream.on(Connection.accepted(loop, channel, stream, Stream.READ_BUFFER, Stream.MOST_QUEUED));
+    }
+
+    private void gone(Stream stream) {
+        if (streams.remove(stream)) {
+            listener.gone();
+        }
+    }
+
+    private void makeRoom() {
+        for (Stream stream : streams) {
+            if (stream.makeRoom()) {
+                return;
+            }
+        }
+    }
+
+    /** The notice to leave: the module is told; what comes within the grace is still read. */
+    public void leave(Duration stop) {
+        desk.leave(loop.clock().now(), loop.clock().now().plus(stop));
+    }
+
+    /** From here on nothing more is read; {@link #answered} says when all that was read is answered. */
+    public void close() {
+        listener.close();
+        List.copyOf(streams).forEach(Stream::leave);
+    }
+
+    /** Whether all that was read is answered and written, and what was answered is on the disk. */
+    public boolean answered() {
+        return desk.inHand() == 0 && streams.isEmpty() && zones.stream().allMatch(Served::idle);
+    }
+
+    public void end() {
+        datagrams.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/front/Served.java
@@ -0,0 +1,159 @@
+package merlinlever.zone.front;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import merlinlever.zone.journal.ZoneStore;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.state.Difference;
+import merlinlever.zone.state.Entry;
+import merlinlever.zone.state.History;
+import merlinlever.zone.state.Replays;
+import merlinlever.zone.state.Serial;
+import merlinlever.zone.state.Update;
+import merlinlever.zone.state.Zone;
+
+/**
+ * One zone in service. Questions see the last version that is on the disk; an update is decided on the last one that is
+ * on its way there, and becomes seen, in order, when it has got there.
+ */
+public final class Served {
+
+    /** Who hears that a new version is seen. */
+    public interface Watcher {
+        void seen(Served zone);
+    }
+
+    private final byte[] origin;
+    private final String name;
+    private final Set<String> updaters;
+    private final Set<String> transferers;
+    private final ZoneStore store;
+    private final History history = new History();
+    private final Replays replays;
+    private final List<Watcher> watchers = new ArrayList<>();
+    private Zone seen;
+    private Zone staged;
+    private int onTheWay;
+    /** What waits for the newest step that is on its way, and whether the last step got there. */
+    private List<Runnable> newest;
+    private boolean lastWell;
+
+    /** @param updaters names of keys as text, as are {@code transferers} */
+    public Served(Zone zone, Set<String> updaters, Set<String> transferers, ZoneStore store, Replays replays) {
+        this.origin = zone.origin();
+        this.name = Names.text(origin);
+        this.updaters = Set.copyOf(updaters);
+        this.transferers = Set.copyOf(transferers);
+        this.store = store;
+        this.replays = replays;
+        seen = zone;
+        staged = zone;
+    }
+
+    public byte[] origin() {
+        return origin;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public Zone zone() {
+        return seen;
+    }
+
+    public History history() {
+        return history;
+    }
+
+    public Replays replays() {
+        return replays;
+    }
+
+    boolean mayUpdate(byte[] key) {
+        return updaters.contains(Names.text(key));
+    }
+
+    boolean mayTransfer(byte[] key) {
+        return transferers.contains(Names.text(key));
+    }
+
+    boolean openToUpdates() {
+        return !updaters.isEmpty();
+    }
+
+    public void watch(Watcher watcher) {
+        watchers.add(watcher);
+    }
+
+    /** Decides an update; {@code done} hears the code, at once or when the disk has it, or -1 where the disk would not. */
+    void update(long at, byte[] mark, List<Entry> prerequisites, List<Entry> changes, Consumer<Integer> done) {
+        Update.Outcome outcome = Update.judge(staged, prerequisites, changes);
+        if (outcome.difference() == null) {
+            if (newest == null) {
+                done.accept(outcome.code());
+            } else {
+                // It was decided on what is not on the disk yet, and stands or falls with it.
+                newest.add(() -> done.accept(lastWell ? outcome.code() : -1));
+            }
+            return;
+        }
+        put(at, mark, outcome.zone(), outcome.difference(), well -> done.accept(well ? Update.NOERROR : -1));
+    }
+
+    private void put(long at, byte[] mark, Zone made, Difference difference, Consumer<Boolean> done) {
+        staged = made;
+        onTheWay++;
+        List<Runnable> behind = new ArrayList<>(0);
+        newest = behind;
+        store.put(at, mark, difference, well -> {
+            onTheWay--;
+            lastWell = well;
+            if (well) {
+                seen = made;
+                history.add(difference);
+                if (mark.length > 0) {
+                    replays.add(at, mark);
+                }
+            } else if (onTheWay == 0) {
+                staged = seen;
+            }
+            if (newest == behind) {
+                newest = null;
+            }
+            done.accept(well);
+            behind.forEach(Runnable::run);
+            if (well) {
+                watchers.forEach(watcher -> watcher.seen(this));
+                if (store.snapshotDue()) {
+                    store.snapshot(seen, at);
+                }
+            }
+        });
+    }
+
+    /**
+     * The operator's file was read again and is good. It takes the place of what is served where its serial comes after;
+     * returns a line about it.
+     */
+    public String reload(Zone file, long at) {
+        Difference difference = Difference.between(staged, file);
+        if (difference.records() == 2 && difference.from() == difference.to()) {
+            return name + ": the file says what is served, serial " + difference.to();
+        }
+        if (!Serial.after(difference.to(), difference.from())) {
+            return name + ": the file is not taken over: its serial " + difference.to() + " does not come after "
+                    + difference.from() + ", which is served";
+        }
+        put(at, new byte[0], file, difference, well -> { });
+        return name + ": taken from the file: serial " + difference.to() + ", " + (difference.removed().size() - 1)
+                + " records out, " + (difference.added().size() - 1) + " in";
+    }
+
+    /** Whether all updates have been heard of from the disk. */
+    boolean idle() {
+        return onTheWay == 0 && store.idle();
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/front/Stream.java
@@ -0,0 +1,196 @@
+package merlinlever.zone.front;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Loop;
+
+/** One TCP connection (RFC 7766): messages with their length before them, answers in the order in which they are ready. */
+final class Stream implements Connection.User {
+
+    /** A message and its length fit; what waits to be written may be a few answers of the largest kind. */
+    static final int READ_BUFFER = 2 + 65_535;
+    static final int MOST_QUEUED = 8 * 65_537;
+    /** Messages of one connection in hand; what comes beyond is read when one is answered. */
+    private static final int MOST_IN_HAND = 64;
+    private static final Duration WHOLE = Duration.ofSeconds(5);
+    private static final Duration IDLE = Duration.ofSeconds(10);
+
+    private final Loop loop;
+    private final Desk desk;
+    private final Consumer<Stream> gone;
+    private Connection connection;
+    private final List<Asked> inHand = new ArrayList<>(2);
+    private Duration idleSince, incompleteSince, unwrittenSince;
+    private Transfer sending;
+    private Consumer<Boolean> sent;
+    private final ArrayDeque<Runnable> transfersBehind = new ArrayDeque<>(0);
+    private boolean last;
+
+    Stream(Loop loop, Desk desk, Consumer<Stream> gone) {
+        this.loop = loop;
+        this.desk = desk;
+        this.gone = gone;
+        idleSince = loop.clock().now();
+    }
+
+    void on(Connection mine) {
+        connection = mine;
+        connection.readOn();
+    }
+
+    @Override public void read(ByteBuffer in) {
+        Duration now = loop.clock().now();
+        incompleteSince = in.hasRemaining() && incompleteSince == null ? now : incompleteSince;
+        while (in.remaining() >= 2 && inHand.size() < MOST_IN_HAND) {
+            int length = (in.get(in.position()) & 0xff) << 8 | in.get(in.position() + 1) & 0xff;
+            if (in.remaining() < 2 + length) {
+                break;
+            }
+            in.position(in.position() + 2);
+            byte[] octets = new byte[length];
+            in.get(octets);
+            incompleteSince = in.hasRemaining() ? now : null;
+            One one = new One();
+            Asked asked = desk.came(now, octets, Duration.ZERO, one);
+            if (asked != null && !one.answered) {
+                one.asked = asked;
+                inHand.add(asked);
+            } else if (!one.answered) {
+                // Not a question: nothing that such a peer says next is worth reading.
+                connection.end(Ended.MALFORMED);
+                return;
+            }
+        }
+        idleSince = now;
+    }
+
+    /** Where the answer to one message goes. */
+    private final class One implements Caller {
+        private Asked asked;
+        private boolean answered;
+
+        @Override public boolean datagram() {
+            return false;
+        }
+
+        private void over() {
+            answered = true;
+            inHand.remove(asked);
+            idleSince = loop.clock().now();
+            // Behind this batch: what waits in the buffer is read now that there is room.
+            loop.execute(connection::readAgain);
+        }
+
+        @Override public void answer(byte[] octets) {
+            over();
+            if (octets == null) {
+                connection.end(Ended.DONE);
+            } else {
+                write(octets);
+            }
+        }
+
+        @Override public void answer(Transfer transfer, Consumer<Boolean> done) {
+            if (connection.ended() != null) {
+                done.accept(false);
+                return;
+            }
+            Runnable begin = () -> {
+                sending = transfer;
+                sent = well -> {
+                    over();
+                    done.accept(well);
+                };
+                more();
+            };
+            if (sending == null) {
+                begin.run();
+            } else {
+                transfersBehind.add(begin);
+            }
+        }
+    }
+
+    private void write(byte[] octets) {
+        ByteBuffer out = ByteBuffer.allocate(2 + octets.length).putShort((short) octets.length).put(octets);
+        unwrittenSince = unwrittenSince == null ? loop.clock().now() : unwrittenSince;
+        connection.write(out.flip());
+    }
+
+    private void more() {
+        byte[] octets = sending.next();
+        if (octets != null) {
+            write(octets);
+            return;
+        }
+        Consumer<Boolean> done = sent;
+        sending = null;
+        sent = null;
+        done.accept(true);
+        if (!transfersBehind.isEmpty()) {
+            transfersBehind.poll().run();
+        }
+    }
+
+    @Override public void written() {
+        unwrittenSince = null;
+        idleSince = loop.clock().now();
+        if (sending != null) {
+            more();
+        } else if (last && inHand.isEmpty()) {
+            connection.end(Ended.DONE);
+        }
+    }
+
+    @Override public void ended(Ended how) {
+        Duration now = loop.clock().now();
+        for (Asked asked : List.copyOf(inHand)) {
+            desk.callerGone(now, asked);
+        }
+        inHand.clear();
+        if (sending != null) {
+            Consumer<Boolean> done = sent;
+            sending = null;
+            sent = null;
+            done.accept(false);
+        }
+        gone.accept(this);
+    }
+
+    /** Ends it where it was silent, or slow, for too long. */
+    void look(Duration now) {
+        if (incompleteSince != null && inHand.size() < MOST_IN_HAND && passed(incompleteSince, now, WHOLE)
+                || unwrittenSince != null && passed(unwrittenSince, now, WHOLE)) {
+            connection.end(Ended.SLOW);
+        } else if (inHand.isEmpty() && unwrittenSince == null && passed(idleSince, now, IDLE)) {
+            connection.end(Ended.IDLE);
+        }
+    }
+
+    private static boolean passed(Duration since, Duration now, Duration span) {
+        return now.minus(since).compareTo(span) >= 0;
+    }
+
+    /** Takes no more messages, and ends with the last answer. */
+    void leave() {
+        last = true;
+        if (inHand.isEmpty() && unwrittenSince == null) {
+            connection.end(Ended.DONE);
+        }
+    }
+
+    /** Ends it if nothing is open on it; says whether it did. */
+    boolean makeRoom() {
+        if (inHand.isEmpty() && unwrittenSince == null) {
+            connection.end(Ended.IDLE);
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/journal/ZoneStore.java
@@ -0,0 +1,428 @@
+package merlinlever.zone.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+import java.util.zip.CRC32C;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.record.Rec;
+import merlinlever.zone.state.Difference;
+import merlinlever.zone.state.Zone;
+
+/**
+ * The journal and snapshots of one zone. What comes while the disk is at work waits and leaves in one write with one
+ * force. All calls come from one thread, all answers return to it; the disk's work is done on the executor for it.
+ */
+public final class ZoneStore {
+
+    /** A message that a repeat is known by, with its time in Unix seconds. */
+    public record Marked(long at, byte[] mark) {
+    }
+
+    /** What lay on the disk. */
+    public record Recovered(Zone zone, List<Difference> steps, List<Marked> marks, String told) {
+    }
+
+    /** State that cannot be used; the message is one line for the operator. */
+    public static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unusable(String message) {
+            super(message);
+        }
+    }
+
+    /** An update that waits for the disk. */
+    private record Waiting(long at, byte[] mark, Difference difference, Consumer<Boolean> done) {
+    }
+
+    private static final int CHUNK = 1 << 16;
+
+    private final Folder folder;
+    private final String name;
+    private final Executor disk;
+    private final Executor snapshots;
+    private final Executor home;
+    private final Consumer<String> trouble;
+    private final int snapshotAfter;
+    /** How long marks are wanted, in seconds. */
+    private final long marksFor;
+
+    // At home.
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean writing, snapshotting;
+    private int sinceSnapshot;
+    private final List<Marked> marks = new ArrayList<>();
+    private boolean failed;
+
+    // On the disk's thread, one job at a time.
+    private Folder.Out out;
+    private long sequence;
+    private long good;
+    private boolean torn;
+
+    /**
+     * @param home runs things on the caller's thread
+     * @param trouble hears lines about the disk
+     */
+    public ZoneStore(Folder folder, byte[] origin, Executor disk, Executor snapshots, Executor home, Consumer<String> trouble,
+            int snapshotAfter, long marksFor) {
+        this.folder = folder;
+        this.name = Form.fileName(origin);
+        this.disk = disk;
+        this.snapshots = snapshots;
+        this.home = home;
+        this.trouble = trouble;
+        this.snapshotAfter = snapshotAfter;
+        this.marksFor = marksFor;
+    }
+
+    private String journal(long base) {
+        return name + String.format(".journal.%016x", base);
+    }
+
+    private List<String> journals() throws IOException {
+        return folder.names().stream().filter(file -> file.matches(java.util.regex.Pattern.quote(name) + "\\.journal\\.[0-9a-f]{16}")).toList();
+    }
+
+    // ---- at the start
+
+    /** Brings back what was answered, or null where there is no state of this zone. Done by the caller before all else. */
+    public Recovered recover(byte[] origin) throws Unusable {
+        try {
+            for (String left : folder.names()) {
+                if (left.equals(name + ".snapshot.new")) {
+                    folder.delete(left);
+                }
+            }
+            List<String> journals = journals();
+            if (!folder.names().contains(name + ".snapshot")) {
+                if (!journals.isEmpty()) {
+                    throw new Unusable(name + ".snapshot is missing beside " + journals.get(0)
+                            + "; bring it back from a copy, or move the zone's files away to start from the zone file");
+                }
+                return null;
+            }
+            List<Difference> steps = new ArrayList<>();
+            Zone zone = snapshot(folder.read(name + ".snapshot"), origin);
+            long snapshotAt = sequence;
+            String told = "";
+            for (int i = 0; i < journals.size(); i++) {
+                boolean last = i == journals.size() - 1;
+                byte[] file = folder.read(journals.get(i));
+                long base = Form.base(file);
+                if (base < 0 && last && file.length <= Form.HEADER) {
+                    // Killed between its making and its header.
+                    folder.delete(journals.get(i));
+                    continue;
+                }
+                if (base < 0 || !journals.get(i).equals(journal(base)) || base > sequence) {
+                    throw new Unusable(journals.get(i) + (base > sequence ? ": begins at update " + base + ", but only "
+                            + sequence + " are known" : ": its header is spoilt"));
+                }
+                Recovery.Read read = Recovery.read(journals.get(i), file);
+                for (Form.Step step : read.steps()) {
+                    remember(step.at(), step.mark());
+                    if (step.sequence() <= snapshotAt) {
+                        continue;
+                    }
+                    if (step.sequence() != sequence + 1 || step.difference().from() != zone.serial()) {
+                        throw new Unusable(journals.get(i) + ": update " + step.sequence() + " does not follow update " + sequence);
+                    }
+                    zone = step.difference().on(zone);
+                    steps.add(step.difference());
+                    sequence = step.sequence();
+                }
+                if (read.good() < file.length) {
+                    told += journals.get(i) + ": the last " + (file.length - read.good())
+                            + " octets were not whole and are dropped, nobody was answered for them; ";
+                }
+                if (last) {
+                    out = folder.append(journals.get(i));
+                    good = read.good();
+                    if (good < file.length) {
+                        out.truncate(good);
+                    }
+                }
+            }
+            if (out == null) {
+                begin();
+            }
+            sinceSnapshot = steps.size();
+            return new Recovered(zone, steps, List.copyOf(marks), told);
+        } catch (Recovery.Spoilt e) {
+            throw new Unusable(e.getMessage());
+        } catch (IOException e) {
+            throw new Unusable(name + ": the state cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** A zone that had no state has one from here on. */
+    public void first(Zone zone) throws Unusable {
+        try {
+            write(zone, 0, List.of());
+            begin();
+        } catch (IOException e) {
+            throw new Unusable(name + ": no state can be written: " + e.getMessage());
+        }
+    }
+
+    private void begin() throws IOException {
+        String file = journal(sequence);
+        Folder.Out begun = folder.append(file);
+        begun.truncate(0);
+        begun.write(ByteBuffer.wrap(Form.header(sequence)));
+        begun.force();
+        folder.force();
+        if (out != null) {
+            out.close();
+        }
+        out = begun;
+        good = begun.length();
+    }
+
+    private void remember(long at, byte[] mark) {
+        if (mark.length > 0) {
+            marks.add(new Marked(at, mark));
+        }
+    }
+
+    // ---- updates
+
+    /**
+     * Puts an update into the journal. {@code done} hears, later, whether it is on the disk; where it is not, neither are
+     * those that were put behind it before that was heard, which hear the same.
+     */
+    public void put(long at, byte[] mark, Difference difference, Consumer<Boolean> done) {
+        waiting.add(new Waiting(at, mark, difference, done));
+        flush();
+    }
+
+    /** Whether all that was put has been heard of. */
+    public boolean idle() {
+        return !writing && waiting.isEmpty() && !snapshotting;
+    }
+
+    private void flush() {
+        if (writing || waiting.isEmpty()) {
+            return;
+        }
+        writing = true;
+        List<Waiting> batch = waiting;
+        waiting = new ArrayList<>();
+        disk.execute(() -> {
+            IOException failure = onDisk(batch);
+            home.execute(() -> heard(batch, failure));
+        });
+    }
+
+    private IOException onDisk(List<Waiting> batch) {
+        try {
+            if (torn) {
+                out.truncate(good);
+                torn = false;
+            }
+            long next = sequence;
+            for (Waiting each : batch) {
+                out.write(Form.entry(new Form.Step(++next, good, each.at, each.mark, each.difference)));
+            }
+            out.force();
+            sequence = next;
+            good = out.length();
+            return null;
+        } catch (IOException e) {
+            torn = true;
+            try {
+                out.truncate(good);
+                torn = false;
+            } catch (IOException again) {
+                // Tried again before the next write: until then nothing is added behind what may not be whole.
+            }
+            return e;
+        }
+    }
+
+    private void heard(List<Waiting> batch, IOException failure) {
+        writing = false;
+        if (failure != null) {
+            if (!failed) {
+                trouble.accept("updates of " + name + " are turned away: the journal cannot be written: " + failure.getMessage());
+            }
+            failed = true;
+            List<Waiting> behind = waiting;
+            waiting = new ArrayList<>();
+            batch.forEach(each -> each.done.accept(false));
+            behind.forEach(each -> each.done.accept(false));
+        } else {
+            if (failed) {
+                trouble.accept("the journal of " + name + " can be written again");
+            }
+            failed = false;
+            for (Waiting each : batch) {
+                remember(each.at, each.mark);
+                sinceSnapshot++;
+            }
+            batch.forEach(each -> each.done.accept(true));
+        }
+        flush();
+    }
+
+    // ---- snapshots
+
+    /** Whether so many updates have come since the last snapshot that the next one is due. */
+    public boolean snapshotDue() {
+        return sinceSnapshot >= snapshotAfter && !snapshotting && !writing && waiting.isEmpty();
+    }
+
+    /** Writes the zone as all that was heard of made it; the journal goes on in a new file meanwhile. Call when due. */
+    public void snapshot(Zone zone, long now) {
+        snapshotting = true;
+        sinceSnapshot = 0;
+        marks.removeIf(mark -> now - mark.at > marksFor);
+        List<Marked> kept = List.copyOf(marks);
+        writing = true;
+        disk.execute(() -> {
+            IOException failure = null;
+            long upTo = sequence;
+            try {
+                if (torn) {
+                    out.truncate(good);
+                    torn = false;
+                }
+                begin();
+            } catch (IOException e) {
+                failure = e;
+            }
+            IOException begun = failure;
+            home.execute(() -> {
+                writing = false;
+                if (begun != null) {
+                    told(begun);
+                } else {
+                    behind(zone, upTo, kept);
+                }
+                flush();
+            });
+        });
+    }
+
+    private void behind(Zone zone, long upTo, List<Marked> kept) {
+        try {
+            snapshots.execute(() -> {
+                IOException failure = null;
+                try {
+                    write(zone, upTo, kept);
+                    for (String old : journals()) {
+                        if (old.compareTo(journal(upTo)) < 0) {
+                            folder.delete(old);
+                        }
+                    }
+                } catch (IOException e) {
+                    failure = e;
+                }
+                IOException ended = failure;
+                home.execute(() -> told(ended));
+            });
+        } catch (RejectedExecutionException e) {
+            told(null);
+        }
+    }
+
+    private void told(IOException failure) {
+        snapshotting = false;
+        if (failure != null) {
+            trouble.accept("no snapshot of " + name + ": " + failure.getMessage() + "; its journals are kept");
+        }
+    }
+
+    private void write(Zone zone, long upTo, List<Marked> kept) throws IOException {
+        String made = name + ".snapshot.new";
+        folder.delete(made);
+        CRC32C crc = new CRC32C();
+        Folder.Out file = folder.append(made);
+        try {
+            ByteBuffer room = ByteBuffer.allocate(CHUNK + 16);
+            room.putInt(Form.SNAPSHOT).putLong(upTo).putInt(kept.size());
+            for (Marked mark : kept) {
+                room = flushed(file, room, crc, 9 + mark.mark.length);
+                room.putLong(mark.at).put((byte) mark.mark.length).put(mark.mark);
+            }
+            room = flushed(file, room, crc, 4);
+            room.putInt(zone.records());
+            List<Rec> chunk = new ArrayList<>();
+            byte[][] next = {new byte[0]};
+            while (next[0] != null) {
+                chunk.clear();
+                byte[] from = next[0];
+                next[0] = null;
+                zone.names().from(from, (key, owner) -> {
+                    if (chunk.size() > 1000) {
+                        next[0] = key;
+                        return false;
+                    }
+                    byte[] wire = Names.wire(key);
+                    for (int i = 0; i < owner.sets(); i++) {
+                        owner.at(i).each(wire, chunk::add);
+                    }
+                    return true;
+                });
+                for (Rec rec : chunk) {
+                    room = flushed(file, room, crc, Form.size(rec));
+                    Form.put(room, rec);
+                }
+            }
+            room = flushed(file, room, crc, Integer.MAX_VALUE);
+            room.putInt((int) crc.getValue()).flip();
+            file.write(room);
+            file.force();
+        } finally {
+            file.close();
+        }
+        folder.rename(made, name + ".snapshot");
+    }
+
+    /** Makes room for more octets; asked for too many, it only writes out. */
+    private static ByteBuffer flushed(Folder.Out file, ByteBuffer room, CRC32C crc, int more) throws IOException {
+        if (room.remaining() >= more) {
+            return room;
+        }
+        room.flip();
+        crc.update(room.duplicate());
+        file.write(room);
+        room.clear();
+        return more == Integer.MAX_VALUE || more <= room.capacity() ? room : ByteBuffer.allocate(more + CHUNK);
+    }
+
+    private Zone snapshot(byte[] file, byte[] origin) throws Unusable {
+        CRC32C crc = new CRC32C();
+        crc.update(file, 0, Math.max(0, file.length - 4));
+        ByteBuffer in = ByteBuffer.wrap(file);
+        if (file.length < 24 || in.getInt() != Form.SNAPSHOT || in.getInt(file.length - 4) != (int) crc.getValue()) {
+            throw new Unusable(name + ".snapshot: spoilt; bring it back from a copy, or move the zone's files away to start "
+                    + "from the zone file");
+        }
+        sequence = in.getLong();
+        for (int count = in.getInt(); count > 0; count--) {
+            long at = in.getLong();
+            byte[] mark = new byte[in.get() & 0xff];
+            in.get(mark);
+            remember(at, mark);
+        }
+        Zone zone = Zone.of(origin, Form.records(in));
+        if (zone.names().size() == 0 || zone.names().get(Names.key(origin)) == null || zone.soa() == null) {
+            throw new Unusable(name + ".snapshot: is of another zone");
+        }
+        return zone;
+    }
+
+    /** Lets go of the file; what was not forced was never answered. */
+    public void close() {
+        if (out != null) {
+            out.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/record/Rec.java
@@ -0,0 +1,30 @@
+package merlinlever.zone.record;
+
+import java.util.Arrays;
+
+/**
+ * A record of class IN.
+ *
+ * @param owner its name on the wire, in lower case
+ * @param ttl seconds, 0 to 2^31 - 1 (RFC 2181 section 8)
+ * @param data as on the wire, uncompressed, names in lower case
+ */
+public record Rec(byte[] owner, int type, long ttl, byte[] data) {
+
+    /** The longest time to live, in seconds. */
+    public static final long MOST_TTL = Integer.MAX_VALUE;
+
+    @Override public boolean equals(Object other) {
+        return other instanceof Rec rec && type == rec.type && ttl == rec.ttl && Arrays.equals(owner, rec.owner)
+                && Arrays.equals(data, rec.data);
+    }
+
+    @Override public int hashCode() {
+        return (Arrays.hashCode(owner) * 31 + type) * 31 + Arrays.hashCode(data);
+    }
+
+    /** As in a zone file. */
+    @Override public String toString() {
+        return Names.text(owner) + " " + ttl + " IN " + Types.text(type) + " " + Rdata.text(type, data);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/state/Replays.java
@@ -0,0 +1,60 @@
+package merlinlever.zone.state;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Marks of updates that were done, for as long as the same message could come again and be taken for a new one: its
+ * signature holds for {@code span} on either side of its time. As many as were taken in such a time: the decision module
+ * bounds that by the memory that each is stated to take.
+ */
+public final class Replays {
+
+    /** A mark, by what is in it. */
+    private record Mark(byte[] octets) {
+        @Override public boolean equals(Object other) {
+            return other instanceof Mark mark && Arrays.equals(octets, mark.octets);
+        }
+
+        @Override public int hashCode() {
+            return Arrays.hashCode(octets);
+        }
+    }
+
+    private record Timed(long at, Mark mark) {
+    }
+
+    private final long span;
+    private final Set<Mark> known = new HashSet<>();
+    private final ArrayDeque<Timed> ends = new ArrayDeque<>();
+
+    /** @param span seconds from when a mark was made until the message cannot come again */
+    public Replays(long span) {
+        this.span = span;
+    }
+
+    public void add(long at, byte[] mark) {
+        Mark made = new Mark(mark);
+        sweep(at);
+        if (known.add(made)) {
+            ends.add(new Timed(at, made));
+        }
+    }
+
+    public boolean known(byte[] mark) {
+        return known.contains(new Mark(mark));
+    }
+
+    /** Lets go of what cannot come again. */
+    public void sweep(long now) {
+        while (!ends.isEmpty() && now - ends.peek().at > span) {
+            known.remove(ends.poll().mark);
+        }
+    }
+
+    public int size() {
+        return known.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/wire/package-info.java
@@ -0,0 +1,2 @@
+/** DNS messages and their signatures, read and written. No input or output. */
+package merlinlever.zone.wire;
--- /dev/null
+++ b/src/test/java/merlinlever/zone/front/FrontTest.java
@@ -0,0 +1,386 @@
+package merlinlever.zone.front;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.DataInputStream;
+import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import merlinlever.zone.journal.DiskFolder;
+import merlinlever.zone.journal.ZoneStore;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.state.Replays;
+import merlinlever.zone.text.ZoneFile;
+import merlinlever.zone.wire.Tsig;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.xbill.DNS.ARecord;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.Flags;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.SimpleResolver;
+import org.xbill.DNS.TSIG;
+import org.xbill.DNS.Type;
+import org.xbill.DNS.Update;
+import org.xbill.DNS.ZoneTransferIn;
+
+/** The whole front on loopback sockets; the other side is the library, which knows nothing of our own reading and signing. */
+class FrontTest {
+
+    private static final String ZONE = """
+            $ORIGIN example.org.
+            $TTL 60
+            @ IN SOA ns1 host 7 3600 900 604800 300
+              NS ns1
+            ns1 A 127.0.0.1
+            tickets A 127.0.1.1
+            tickets A 127.0.1.2
+            *.w TXT wild
+            a.b AAAA ::1
+            sub NS ns.sub
+            ns.sub A 127.0.0.9
+            alias CNAME tickets
+            """;
+    private static final byte[] SECRET = "0123456789abcdef0123456789abcdef".getBytes();
+
+    @TempDir Path folder;
+    private Loop loop;
+    private Front front;
+    private Served zone;
+    private DiskFolder state;
+    private ZoneStore store;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private InetSocketAddress address;
+    private long unixAhead;
+
+    @BeforeEach void start() throws Exception {
+        Path file = Files.writeString(folder.resolve("z"), ZONE);
+        loop = new Loop(Clock.system(), Throwable::printStackTrace);
+        byte[] origin = Names.absolute("example.org.");
+        state = new DiskFolder(folder.resolve("state"));
+        store = new ZoneStore(state, origin, Executors.newSingleThreadExecutor(), threads, loop, line -> { }, 50, Desk.REPLAY);
+        ZoneStore.Recovered recovered = store.recover(origin);
+        Replays replays = new Replays(Desk.REPLAY);
+        if (recovered == null) {
+            store.first(ZoneFile.read(file, origin));
+        } else {
+            recovered.marks().forEach(mark -> replays.add(mark.at(), mark.mark()));
+        }
+        zone = new Served(recovered == null ? ZoneFile.read(file, origin) : recovered.zone(), Set.of("updater.", "next."),
+                Set.of("updater."), store, replays);
+        List<Tsig.Key> keys = List.of(new Tsig.Key(Names.absolute("updater."), "hmac-sha256", SECRET),
+                new Tsig.Key(Names.absolute("next."), "hmac-sha512", new byte[48]),
+                new Tsig.Key(Names.absolute("reader."), "hmac-sha256", new byte[48]));
+        front = new Front(loop, new InetSocketAddress("127.0.0.1", 0), 8, List.of(zone), new Tsig.Keys(keys),
+                new Desk.Stated(64, Duration.ofMillis(200), true, 1), () -> System.currentTimeMillis() / 1000 + unixAhead,
+                line -> { }, new Counts(new SimpleMeterRegistry()));
+        address = front.address();
+        threads.execute(loop::run);
+    }
+
+    @AfterEach void stop() throws Exception {
+        loop.execute(() -> {
+            front.close();
+            front.end();
+            loop.stop();
+        });
+        Thread.sleep(50);
+        store.close();
+        state.close();
+    }
+
+    private static TSIG key() {
+        return new TSIG(TSIG.HMAC_SHA256, Name.fromConstantString("updater."), SECRET);
+    }
+
+    private SimpleResolver resolver(TSIG key) throws Exception {
+        SimpleResolver resolver = new SimpleResolver(address);
+        resolver.setTimeout(Duration.ofSeconds(3));
+        resolver.setTSIGKey(key);
+        return resolver;
+    }
+
+    private static Message question(String name, int type) throws Exception {
+        return Message.newQuery(Record.newRecord(new Name(name), type, DClass.IN));
+    }
+
+    private Message ask(String name, int type) throws Exception {
+        return resolver(null).send(question(name, type));
+    }
+
+    private static Update update() throws Exception {
+        return new Update(new Name("example.org."));
+    }
+
+    @Test void questionsAreAnsweredAsAZoneAnswersThem() throws Exception {
+        Message found = ask("Tickets.Example.ORG.", Type.A);
+        assertEquals(2, found.getSection(Section.ANSWER).size());
+        assertTrue(found.getHeader().getFlag(Flags.AA));
+        assertEquals(Type.CNAME, ask("alias.example.org.", Type.A).getSection(Section.ANSWER).get(0).getType());
+        assertEquals(3, ask("alias.example.org.", Type.A).getSection(Section.ANSWER).size());
+        assertEquals("x.y.w.example.org.", ask("x.y.w.example.org.", Type.TXT).getSection(Section.ANSWER).get(0).getName().toString());
+        Message empty = ask("b.example.org.", Type.A);
+        assertEquals(Rcode.NOERROR, empty.getRcode());
+        assertEquals(Type.SOA, empty.getSection(Section.AUTHORITY).get(0).getType());
+        assertEquals(Rcode.NXDOMAIN, ask("c.example.org.", Type.A).getRcode());
+        Message referred = ask("x.sub.example.org.", Type.A);
+        assertFalse(referred.getHeader().getFlag(Flags.AA));
+        assertEquals(Type.NS, referred.getSection(Section.AUTHORITY).get(0).getType());
+        assertEquals("127.0.0.9", ((ARecord) referred.getSection(Section.ADDITIONAL).get(0)).getAddress().getHostAddress());
+        assertEquals(Rcode.REFUSED, ask("example.com.", Type.A).getRcode());
+    }
+
+    @Test void aSignedUpdateIsSeenAndLastsAndAnUnsignedOneIsNot() throws Exception {
+        Update update = update();
+        update.present(new Name("tickets.example.org."));
+        update.replace(new Name("tickets.example.org."), Type.A, 30, "127.0.1.9");
+        assertEquals(Rcode.REFUSED, resolver(null).send(update).getRcode());
+        assertEquals(2, ask("tickets.example.org.", Type.A).getSection(Section.ANSWER).size());
+        assertEquals(Rcode.NOERROR, resolver(key()).send(update).getRcode());
+        assertEquals(1, ask("tickets.example.org.", Type.A).getSection(Section.ANSWER).size());
+        stop();
+        start();
+        assertEquals(1, ask("tickets.example.org.", Type.A).getSection(Section.ANSWER).size());
+        assertEquals(8, zone.zone().serial());
+    }
+
+    @Test void keysFollowOneAnotherAndEachBadSignatureIsToldApart() throws Exception {
+        Update update = update();
+        update.add(new Name("n.example.org."), Type.A, 30, "127.0.1.9");
+        assertEquals(Rcode.NOERROR, resolver(new TSIG(TSIG.HMAC_SHA512, new Name("next."), new byte[48])).send(update).getRcode());
+        assertEquals(Rcode.REFUSED, resolver(new TSIG(TSIG.HMAC_SHA256, new Name("reader."), new byte[48])).send(update).getRcode());
+        // Raw, as the library's resolver checks what it gets itself.
+        assertEquals(Rcode.BADKEY, error(signed(update, new TSIG(TSIG.HMAC_SHA256, new Name("unknown."), SECRET))));
+        assertEquals(Rcode.BADSIG, error(signed(update, new TSIG(TSIG.HMAC_SHA256, new Name("updater."), new byte[33]))));
+        unixAhead = 1000;
+        assertEquals(Rcode.BADTIME, error(signed(update, key())));
+        unixAhead = 0;
+        byte[] cut = signed(update, key());
+        assertEquals(Rcode.FORMERR, new Message(exchange(Arrays.copyOf(cut, cut.length - 20))).getRcode());
+        assertEquals(8, zone.zone().serial());
+    }
+
+    private static byte[] signed(Message message, TSIG key) throws Exception {
+        Message made = message.clone();
+        made.setTSIG(key, Rcode.NOERROR, null);
+        return made.toWire(65_535);
+    }
+
+    private int error(byte[] asked) throws Exception {
+        Message answer = new Message(exchange(asked));
+        assertEquals(Rcode.NOTAUTH, answer.getRcode());
+        return answer.getTSIG().getError();
+    }
+
+    private byte[] exchange(byte[] octets) throws Exception {
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.setSoTimeout(3000);
+            socket.send(new DatagramPacket(octets, octets.length, address));
+            DatagramPacket got = new DatagramPacket(new byte[65_535], 65_535);
+            socket.receive(got);
+            return Arrays.copyOf(got.getData(), got.getLength());
+        }
+    }
+
+    @Test void theSameDatagramTwiceIsDoneOnceEvenAcrossARestart() throws Exception {
+        Update add = update();
+        add.add(new Name("twice.example.org."), Type.A, 30, "127.0.1.9");
+        byte[] octets = signed(add, key());
+        byte[] first = exchange(octets);
+        assertEquals(Rcode.NOERROR, new Message(first).getRcode());
+        Update remove = update();
+        remove.delete(new Name("twice.example.org."));
+        assertEquals(Rcode.NOERROR, resolver(key()).send(remove).getRcode());
+        assertEquals(Rcode.NOERROR, new Message(exchange(octets)).getRcode());
+        assertEquals(Rcode.NXDOMAIN, ask("twice.example.org.", Type.A).getRcode());
+        stop();
+        start();
+        assertEquals(Rcode.NOERROR, new Message(exchange(octets)).getRcode());
+        assertEquals(Rcode.NXDOMAIN, ask("twice.example.org.", Type.A).getRcode());
+    }
+
+    @Test void whatDoesNotFitADatagramIsCutAndComesWholeOverTcp() throws Exception {
+        Update many = update();
+        for (int i = 0; i < 200; i++) {
+            many.add(new Name("many.example.org."), Type.A, 30, "127.0.2." + i);
+        }
+        assertEquals(Rcode.NOERROR, resolver(key()).send(many).getRcode());
+        Message cut = new Message(exchange(question("many.example.org.", Type.A).toWire()));
+        assertTrue(cut.getHeader().getFlag(Flags.TC));
+        assertEquals(0, cut.getSection(Section.ANSWER).size());
+        assertEquals(200, ask("many.example.org.", Type.A).getSection(Section.ANSWER).size());
+    }
+
+    @Test void transfersGiveTheWholeZoneOrWhatHasChanged() throws Exception {
+        ZoneTransferIn all = ZoneTransferIn.newAXFR(new Name("example.org."), address, key());
+        all.run();
+        assertEquals(zone.zone().records() + 1, all.getAXFR().size());
+        for (int i = 0; i < 3; i++) {
+            Update update = update();
+            update.add(new Name("n" + i + ".example.org."), Type.A, 30, "127.0.1.9");
+            assertEquals(Rcode.NOERROR, resolver(key()).send(update).getRcode());
+        }
+        ZoneTransferIn changed = ZoneTransferIn.newIXFR(new Name("example.org."), 7, false, address, key());
+        changed.run();
+        assertTrue(changed.isIXFR());
+        assertEquals(3, changed.getIXFR().size());
+        ZoneTransferIn none = ZoneTransferIn.newIXFR(new Name("example.org."), 10, false, address, key());
+        none.run();
+        assertTrue(none.isCurrent());
+        ZoneTransferIn old = ZoneTransferIn.newIXFR(new Name("example.org."), 3, true, address, key());
+        old.run();
+        assertTrue(old.isAXFR());
+        assertThrows(Exception.class, () -> resolver(null).send(question("example.org.", Type.AXFR)), "REFUSED");
+    }
+
+    @Test void garbageIsAnsweredOrDroppedAndHarmsNobody() throws Exception {
+        byte[] good = question("tickets.example.org.", Type.A).toWire();
+        byte[] loops = good.clone();
+        loops[12] = (byte) 0xc0;
+        loops[13] = 12;
+        assertEquals(Rcode.FORMERR, new Message(exchange(loops)).getRcode());
+        byte[] behind = Arrays.copyOf(good, good.length + 3);
+        assertEquals(Rcode.FORMERR, new Message(exchange(behind)).getRcode());
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.setSoTimeout(200);
+            byte[] response = good.clone();
+            response[2] |= (byte) 0x80;
+            for (byte[] silent : new byte[][] {response, new byte[11], new byte[0]}) {
+                socket.send(new DatagramPacket(silent, silent.length, address));
+            }
+            DatagramPacket got = new DatagramPacket(new byte[512], 512);
+            SocketTimeoutException nothing = null;
+            try {
+                socket.receive(got);
+            } catch (SocketTimeoutException e) {
+                nothing = e;
+            }
+            assertTrue(nothing != null, "an answer to what is no question");
+        }
+        assertEquals(Rcode.NOERROR, ask("tickets.example.org.", Type.A).getRcode());
+    }
+
+    @Test void aPeerThatSendsHalfAMessageIsClosedAndOthersGoOn() throws Exception {
+        try (Socket slow = new Socket(address.getAddress(), address.getPort())) {
+            byte[] good = question("tickets.example.org.", Type.A).toWire();
+            OutputStream out = slow.getOutputStream();
+            out.write(0);
+            out.write(good.length);
+            out.write(good, 0, 10);
+            long began = System.nanoTime();
+            CompletableFuture<Integer> end = CompletableFuture.supplyAsync(() -> {
+                try {
+                    for (int i = 10; i < 14; i++) {
+                        Thread.sleep(1000);
+                        out.write(good, i, 1);
+                    }
+                    return slow.getInputStream().read();
+                } catch (Exception e) {
+                    return -1;
+                }
+            });
+            assertEquals(Rcode.NOERROR, ask("tickets.example.org.", Type.A).getRcode());
+            assertEquals(-1, end.get(9, TimeUnit.SECONDS));
+            assertTrue(System.nanoTime() - began > 3_500_000_000L);
+        }
+    }
+
+    @Test void moreConnectionsThanAllowedMakeRoom() throws Exception {
+        Socket[] idle = new Socket[12];
+        for (int i = 0; i < idle.length; i++) {
+            idle[i] = new Socket(address.getAddress(), address.getPort());
+        }
+        Thread.sleep(100);
+        SimpleResolver tcp = resolver(null);
+        tcp.setTCP(true);
+        assertEquals(Rcode.NOERROR, tcp.send(question("tickets.example.org.", Type.A)).getRcode());
+        for (Socket socket : idle) {
+            socket.close();
+        }
+    }
+
+    @Test void aDrainAnswersWhatWasReadAndRefusesWhatCameLate() throws Exception {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            byte[] good = question("tickets.example.org.", Type.A).toWire();
+            byte[] framed = new byte[good.length + 2];
+            framed[1] = (byte) good.length;
+            System.arraycopy(good, 0, framed, 2, good.length);
+            loop.execute(() -> front.leave(Duration.ofSeconds(2)));
+            Thread.sleep(20);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            // Within the grace it is answered, past it turned away; an answer comes either way.
+            assertEquals(Rcode.NOERROR, answered(socket, framed, in));
+            Thread.sleep(300);
+            assertEquals(Rcode.REFUSED, answered(socket, framed, in));
+            Update late = update();
+            late.add(new Name("late.example.org."), Type.A, 30, "127.0.1.9");
+            assertEquals(Rcode.REFUSED, new Message(exchange(signed(late, key()))).getRcode());
+            loop.execute(front::close);
+            assertEquals(-1, in.read());
+            CompletableFuture<Boolean> answered = new CompletableFuture<>();
+            loop.execute(() -> answered.complete(front.answered()));
+            assertTrue(answered.get(1, TimeUnit.SECONDS));
+            assertNull(zone.zone().set(Names.absolute("late.example.org."), Type.A));
+        }
+    }
+
+    private static int answered(Socket socket, byte[] framed, DataInputStream in) throws Exception {
+        socket.getOutputStream().write(framed);
+        byte[] answer = new byte[in.readUnsignedShort()];
+        in.readFully(answer);
+        assertArrayEquals(new byte[] {framed[2], framed[3]}, Arrays.copyOf(answer, 2));
+        return new Message(answer).getRcode();
+    }
+
+    @Test void everyKindOfPrerequisiteDecidesTheWhole() throws Exception {
+        Name tickets = new Name("tickets.example.org.");
+        Name none = new Name("none.example.org.");
+        int[] expected = {Rcode.NXDOMAIN, Rcode.YXDOMAIN, Rcode.NXRRSET, Rcode.YXRRSET, Rcode.NXRRSET, Rcode.NOTZONE, Rcode.NOERROR};
+        for (int i = 0; i < expected.length; i++) {
+            Update update = update();
+            switch (i) {
+                case 0 -> update.present(none);
+                case 1 -> update.absent(tickets);
+                case 2 -> update.present(tickets, Type.TXT);
+                case 3 -> update.absent(tickets, Type.A);
+                case 4 -> update.present(tickets, Type.A, "127.0.1.1");
+                case 5 -> update.present(new Name("example.com."));
+                default -> {
+                    update.present(tickets, Type.A, "127.0.1.1");
+                    update.present(tickets, Type.A, "127.0.1.2");
+                }
+            }
+            update.add(new Name("done" + i + ".example.org."), Type.A, 30, "127.0.1.9");
+            assertEquals(expected[i], resolver(key()).send(update).getRcode(), "case " + i);
+            assertEquals(expected[i] == Rcode.NOERROR ? Rcode.NOERROR : Rcode.NXDOMAIN,
+                    ask("done" + i + ".example.org.", Type.A).getRcode());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/zone/wire/WireTest.java
@@ -0,0 +1,135 @@
+package merlinlever.zone.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import merlinlever.zone.record.Malformed;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.record.Types;
+import org.junit.jupiter.api.Test;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.TSIG;
+
+class WireTest {
+
+    private static final byte[] SECRET = "0123456789abcdef0123456789abcdef".getBytes();
+
+    private static byte[] message(int records) throws Exception {
+        Writer out = new Writer(7, Message.UPDATE << 11, Message.MOST);
+        out.question(Names.absolute("example.org."), Types.SOA, Types.IN);
+        for (int i = 0; i < records; i++) {
+            out.record(2, Names.absolute("n" + i + ".deep.example.org."), Types.MX, Types.IN, 60, new byte[] {0, 1, 1, 'x', 0});
+        }
+        out.edns(1232, 0, null);
+        return out.done();
+    }
+
+    private static Tsig.Key key() throws Exception {
+        return new Tsig.Key(Names.absolute("k."), "hmac-sha256", SECRET);
+    }
+
+    @Test void whatIsWrittenIsReadAndTheLibraryReadsTheSame() throws Exception {
+        byte[] octets = message(200);
+        Message read = Message.read(octets);
+        assertEquals(200, read.authority().size());
+        assertEquals("n199.deep.example.org.", Names.text(read.authority().get(199).owner()));
+        org.xbill.DNS.Message theirs = new org.xbill.DNS.Message(octets);
+        assertEquals(200, theirs.getSection(2).size());
+        assertEquals("n199.deep.example.org.", theirs.getSection(2).get(199).getName().toString());
+        assertTrue(octets.length < 200 * 30, "compressed");
+    }
+
+    /** Messages of any octets are read or malformed, in bounded time and memory: no other end. */
+    @Test void garbageIsMalformedAndNothingElse() throws Exception {
+        SplittableRandom chance = new SplittableRandom(12);
+        byte[][] good = {message(5), Tsig.sign(message(2), key(), 1000, null).octets(), new byte[40]};
+        int read = 0;
+        for (int i = 0; i < 200_000; i++) {
+            byte[] bad = good[chance.nextInt(3)].clone();
+            for (int k = chance.nextInt(8); k >= 0; k--) {
+                bad[chance.nextInt(bad.length)] = switch (chance.nextInt(3)) {
+                    case 0 -> (byte) chance.nextInt(256);
+                    case 1 -> (byte) 0xc0;
+                    default -> (byte) chance.nextInt(20);
+                };
+            }
+            bad = chance.nextInt(4) == 0 ? java.util.Arrays.copyOf(bad, chance.nextInt(bad.length)) : bad;
+            try {
+                Message message = Message.read(bad);
+                read++;
+                if (message.signature() != null) {
+                    Tsig.verify(message, new Tsig.Keys(List.of(key())), 1000, null);
+                }
+            } catch (Malformed e) {
+                assertFalse(e.getMessage().isEmpty());
+            }
+        }
+        assertTrue(read > 1000 && read < 199_000, "" + read);
+    }
+
+    @Test void everyOctetOfASignedMessageCounts() throws Exception {
+        Tsig.Keys keys = new Tsig.Keys(List.of(key()));
+        byte[] signed = Tsig.sign(message(2), key(), 1000, null).octets();
+        assertEquals(0, Tsig.verify(Message.read(signed), keys, 1200, null).error());
+        assertEquals(Tsig.BADTIME, Tsig.verify(Message.read(signed), keys, 1301, null).error());
+        for (int at = 0; at < signed.length; at++) {
+            byte[] bad = signed.clone();
+            bad[at] ^= 0x04;
+            try {
+                Message message = Message.read(bad);
+                // The id that the message travels under is not signed, the one in the signature is.
+                assertTrue(at < 2 || message.signature() == null || Tsig.verify(message, keys, 1000, null).error() != 0, "octet " + at);
+            } catch (Malformed e) {
+                continue;
+            }
+        }
+    }
+
+    @Test void signaturesAreThoseOfTheLibrary() throws Exception {
+        TSIG theirs = new TSIG(TSIG.HMAC_SHA256, new Name("k."), SECRET);
+        long now = System.currentTimeMillis() / 1000;
+        byte[] signed = Tsig.sign(message(3), key(), now, null).octets();
+        org.xbill.DNS.Message read = new org.xbill.DNS.Message(signed);
+        assertEquals(0, theirs.verify(read, signed, null));
+        org.xbill.DNS.Message made = new org.xbill.DNS.Message(message(1));
+        made.setTSIG(theirs, 0, null);
+        byte[] octets = made.toWire(65_535);
+        assertEquals(0, Tsig.verify(Message.read(octets), new Tsig.Keys(List.of(key())), now, null).error());
+    }
+
+    @Test void aStreamHoldsOnlyWholeAndInOrder() throws Exception {
+        byte[] mac = {1, 2, 3};
+        Tsig.Chain server = new Tsig.Chain(key(), mac);
+        byte[][] messages = new byte[5][];
+        for (int i = 0; i < 5; i++) {
+            messages[i] = server.sign(message(i), 1000);
+        }
+        Tsig.Chain client = new Tsig.Chain(key(), mac);
+        for (byte[] each : messages) {
+            assertTrue(client.holds(Message.read(each), 1000));
+        }
+        assertTrue(client.closed());
+        Tsig.Chain skipping = new Tsig.Chain(key(), mac);
+        assertTrue(skipping.holds(Message.read(messages[0]), 1000));
+        assertFalse(skipping.holds(Message.read(messages[2]), 1000));
+        Tsig.Chain unsigned = new Tsig.Chain(key(), mac);
+        assertFalse(unsigned.holds(Message.read(message(1)), 1000));
+    }
+
+    @Test void writingStopsWhereThereIsNoRoom() throws Exception {
+        Writer out = new Writer(1, 0, 100);
+        out.question(Names.absolute("example.org."), Types.A, Types.IN);
+        int written = 0;
+        while (out.record(1, Names.absolute("example.org."), Types.A, Types.IN, 1, new byte[] {1, 2, 3, (byte) written})) {
+            written++;
+        }
+        byte[] octets = out.done();
+        assertTrue(octets.length <= 100 && octets.length > 84);
+        assertEquals(written, Message.read(octets).answers().size());
+        assertNull(Message.read(octets).edns());
+    }
+}
