A follower that keeps a name on the live fleet, zone apply, and the measurements

Need: names drift when servers die; a half-done change of a zone has to be visible and safe to run again.

Change: zone.follow decides without input or output, with its claim in the zone itself; zone.client asks, updates and fetches; zone apply and zone follow; measure dns.

--- a/src/main/java/merlinlever/cli/Commands.java
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -17,7 +17,8 @@
 @Command(name = "merlinlever", mixinStandardHelpOptions = true, version = "merlinlever 0.2.0",
         description = "Decides, inside each server of a fleet, what it takes, runs and turns away.",
         synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Commands.ServeHelp.class, Commands.WireHostHelp.class, ZoneCommands.class, Commands.SheetCommands.class})
+        subcommands = {Commands.ServeHelp.class, Commands.WireHostHelp.class, ZoneCommands.class, Commands.SheetCommands.class,
+            Commands.Measure.class})
 public final class Commands implements Runnable {
 
     @Spec
@@ -83,6 +84,24 @@
         }
     }
 
+    @Command(name = "measure", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+            description = "Measure parts of this program against plain ones, on this machine alone.")
+    static final class Measure implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Override public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "Which command?");
+        }
+
+        @Command(name = "dns", mixinStandardHelpOptions = true, description = "Zone files, index, updates, queries, following. Some minutes.")
+        int dns(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
+                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
+            new merlinlever.measure.DnsMeasure(out, quick).run();
+            return 0;
+        }
+    }
+
     @Override public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "Which command?");
     }
--- a/src/main/java/merlinlever/cli/zone/ZoneCommands.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneCommands.java
@@ -1,7 +1,9 @@
 package merlinlever.cli.zone;
 
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Callable;
 import merlinlever.cli.Logging;
@@ -12,6 +14,7 @@
 import merlinlever.zone.state.Difference;
 import merlinlever.zone.state.Zone;
 import merlinlever.zone.text.ZoneFile;
+import merlinlever.zone.wire.Tsig;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -22,7 +25,8 @@
 /** What the program does with DNS zones. */
 @Command(name = "zone", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
         description = "DNS zones: read, compare, serve, update, and follow the live fleet.",
-        subcommands = {ZoneCommands.Check.class, ZoneCommands.Diff.class, ZoneCommands.ServeZones.class})
+        subcommands = {ZoneCommands.Check.class, ZoneCommands.Diff.class, ZoneCommands.Apply.class, ZoneCommands.ServeZones.class,
+            ZoneCommands.Follow.class})
 public final class ZoneCommands implements Runnable {
 
     @Spec
@@ -144,4 +148,75 @@
             }
         }
     }
+
+    /** Brings a live zone to what a file says. */
+    @Command(name = "apply", mixinStandardHelpOptions = true,
+            description = "Bring a live zone to what a file says, by signed updates: fetch it, show what differs, send it in batches, look again.",
+            exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:the live zone says what the file says (with --dry-run: the plan is shown)",
+                "1:it does not; what was done is told", "2:wrong usage"})
+    static final class Apply extends Base {
+        @Parameters(paramLabel = "FILE", description = "zone file")
+        private Path file;
+        @Option(names = "--server", required = true, paramLabel = "ADDRESS:PORT", description = "the zone's primary")
+        private String server;
+        @Option(names = "--key", paramLabel = "NAME:FILE", description = "name of a key, and the file with its secret in base64")
+        private String key;
+        @Option(names = "--algorithm", paramLabel = "NAME", description = "of the key: hmac-sha224, -sha256 (default), -sha384, -sha512")
+        private String algorithm = "hmac-sha256";
+        @Option(names = "--origin", paramLabel = "NAME", description = "the zone, where the file does not say it")
+        private String origin;
+        @Option(names = "--dry-run", description = "show what would change and change nothing")
+        private boolean dryRun;
+        @Option(names = "--timeout", paramLabel = "SECONDS", description = "for each answer, 1 to 300 (default: 10)")
+        private int timeout = 10;
+
+        @Override public Integer call() {
+            InetSocketAddress at;
+            Tsig.Key with;
+            try {
+                at = Given.address(server);
+                int colon = key == null ? -1 : key.indexOf(':');
+                if (key != null && colon < 1) {
+                    throw new Malformed("--key: expected NAME:FILE, found " + key);
+                }
+                if (timeout < 1 || timeout > 300) {
+                    throw new Malformed("--timeout: expected 1 to 300, found " + timeout);
+                }
+                with = key == null ? null : Given.key(key.substring(0, colon), algorithm, Path.of(key.substring(colon + 1)));
+            } catch (Malformed e) {
+                throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+            }
+            Zone wanted;
+            try {
+                wanted = ZoneFile.read(file, origin(origin));
+            } catch (ZoneFile.Rejected e) {
+                e.faults().forEach(err()::println);
+                return 1;
+            }
+            return new ZoneApply(wanted, file, at, with, Duration.ofSeconds(timeout), dryRun, out(), err()).run();
+        }
+    }
+
+    /** Keeps a name on the live instances. */
+    @Command(name = "follow", mixinStandardHelpOptions = true,
+            description = "Keep a name in a zone on the instances that report to be alive. Ends with 143 after SIGTERM.",
+            exitCodeListHeading = "%nExit status:%n", exitCodeList = {"1:it cannot start; the reason is on standard error",
+                "2:wrong usage", "143:told to leave"})
+    static final class Follow extends Base {
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "YAML; 'config schema zone-follow' prints its form")
+        private Path file;
+        @Option(names = "--log", paramLabel = "FORM", description = "text or json (default: text)")
+        private Logging.Form form = Logging.Form.text;
+
+        @Override public Integer call() {
+            Logging.start(form);
+            try {
+                new ZoneFollower(Sheet.read(file, "zone-follow")).run();
+                return 0;
+            } catch (Sheet.Unusable e) {
+                err().println(e.getMessage());
+                return 1;
+            }
+        }
+    }
 }
--- a/src/main/java/merlinlever/cli/zone/ZoneServer.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneServer.java
@@ -209,7 +209,6 @@
     }
 
     private void leave() {
-        LOG.info("leaving: stop in {} ms", stopAfter.toMillis());
         front.leave(stopAfter);
         loop.in(stopAfter.dividedBy(GRACE_PART), () -> {
             front.close();
--- /dev/null
+++ b/src/main/java/merlinlever/zone/client/Answered.java
@@ -0,0 +1,38 @@
+package merlinlever.zone.client;
+
+import merlinlever.zone.wire.Message;
+
+/**
+ * How a question or an update ended.
+ *
+ * @param message the answer where there is one, else null
+ */
+public record Answered(Way way, Message message) {
+
+    /** Every way in which one can end, and what each means for an update. */
+    public enum Way {
+        /** With an answer whose signature holds: the code says what was done. */
+        ANSWERED,
+        /** It never got there: nothing was done. */
+        UNREACHABLE,
+        /** No answer that can be believed came in time: it may have been done. */
+        LOST,
+        /** The other side does not take the key, as it says unsigned: very likely nothing was done. */
+        KEY_REFUSED
+    }
+
+    public boolean well() {
+        return way == Way.ANSWERED && message.code() == 0;
+    }
+
+    /** One line for people. */
+    public String told() {
+        return switch (way) {
+            case ANSWERED -> org.xbill.DNS.Rcode.string(message.code()) + (message.signature() != null && message.signature().error() != 0
+                    ? " (" + org.xbill.DNS.Rcode.TSIGstring(message.signature().error()) + ")" : "");
+            case UNREACHABLE -> "cannot be reached";
+            case LOST -> "no answer in time; it may have been done";
+            case KEY_REFUSED -> "does not take the key";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/client/package-info.java
@@ -0,0 +1,2 @@
+/** Questions, updates and transfers to other servers, on the house's loop. */
+package merlinlever.zone.client;
--- /dev/null
+++ b/src/main/java/merlinlever/zone/follow/Fleet.java
@@ -0,0 +1,91 @@
+package merlinlever.zone.follow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Which instances count as alive. One is gone when it says closed or has been silent for the lapse; one that comes and
+ * goes stays away for longer each time, as a route that flaps does (RFC 2439 section 4.4).
+ */
+final class Fleet {
+
+    /** A departure counts one; above the first figure an instance stays away until below the second. */
+    private static final double SUPPRESS = 2.5;
+    private static final double REUSE = 1;
+
+    private static final class Instance {
+        Duration heard;
+        boolean open, was, suppressed;
+        double penalty;
+        Duration penaltyAt = Duration.ZERO;
+    }
+
+    private final List<Instance> instances = new ArrayList<>();
+    private final Duration lapse;
+    private final Duration damp;
+
+    /** @param damp the time in which what is held against an instance halves */
+    Fleet(int count, Duration lapse, Duration damp) {
+        this.lapse = lapse;
+        this.damp = damp;
+        for (int i = 0; i < count; i++) {
+            instances.add(new Instance());
+        }
+    }
+
+    int size() {
+        return instances.size();
+    }
+
+    void heard(Duration now, int index, boolean open) {
+        Instance instance = instances.get(index);
+        look(now, instance);
+        instance.heard = now;
+        instance.open = open;
+        look(now, instance);
+    }
+
+    private boolean alive(Duration now, Instance instance) {
+        return instance.open && instance.heard != null && now.minus(instance.heard).compareTo(lapse) < 0;
+    }
+
+    private void look(Duration now, Instance instance) {
+        boolean alive = alive(now, instance);
+        instance.penalty *= Math.pow(0.5, now.minus(instance.penaltyAt).toNanos() / (double) damp.toNanos());
+        instance.penaltyAt = now;
+        if (instance.was && !alive) {
+            instance.penalty += 1;
+        }
+        instance.was = alive;
+        instance.suppressed = instance.suppressed ? instance.penalty > REUSE : instance.penalty >= SUPPRESS;
+    }
+
+    /** Brings all up to now; call before asking. */
+    void look(Duration now) {
+        instances.forEach(instance -> look(now, instance));
+    }
+
+    /** As of the last look: alive, and not kept away for its flapping unless that is asked for. */
+    List<Integer> alive(boolean suppressedToo) {
+        List<Integer> alive = new ArrayList<>();
+        for (int i = 0; i < instances.size(); i++) {
+            if (instances.get(i).was && (suppressedToo || !instances.get(i).suppressed)) {
+                alive.add(i);
+            }
+        }
+        return alive;
+    }
+
+    /** When the next instance lapses if nothing more is heard, or null. */
+    Duration nextLapse() {
+        Duration next = null;
+        for (Instance instance : instances) {
+            if (instance.was) {
+                Duration at = instance.heard.plus(lapse);
+                next = next == null || at.compareTo(next) < 0 ? at : next;
+            }
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/follow/Seen.java
@@ -0,0 +1,14 @@
+package merlinlever.zone.follow;
+
+import java.util.List;
+import merlinlever.zone.record.Rec;
+
+/**
+ * What a server says of the name.
+ *
+ * @param serial of the zone
+ * @param claims the TXT records where the claim stands
+ * @param records the address and service records at the name
+ */
+public record Seen(long serial, List<Rec> claims, List<Rec> records) {
+}
--- /dev/null
+++ b/src/main/java/merlinlever/zone/follow/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how a name in a zone follows the live instances. No input or output. */
+package merlinlever.zone.follow;
--- a/src/main/java/merlinlever/zone/journal/ZoneStore.java
+++ b/src/main/java/merlinlever/zone/journal/ZoneStore.java
@@ -56,8 +56,11 @@
     private List<Waiting> waiting = new ArrayList<>();
     private boolean writing, snapshotting;
     private int sinceSnapshot;
+    /** Of the last write, those that have not been told yet: no version that the caller has seen holds all of it. */
+    private int unheard;
     private final List<Marked> marks = new ArrayList<>();
     private boolean failed;
+    private int mostAWrite = Integer.MAX_VALUE;
 
     // On the disk's thread, one job at a time.
     private Folder.Out out;
@@ -207,6 +210,11 @@
         return !writing && waiting.isEmpty() && !snapshotting;
     }
 
+    /** For measuring what many updates a force are worth. */
+    public void mostAWrite(int most) {
+        mostAWrite = most;
+    }
+
     private void flush() {
         if (writing || waiting.isEmpty()) {
             return;
@@ -214,6 +222,14 @@
         writing = true;
         List<Waiting> batch = waiting;
         waiting = new ArrayList<>();
+        if (batch.size() > mostAWrite) {
+            waiting.addAll(batch.subList(mostAWrite, batch.size()));
+            batch = batch.subList(0, mostAWrite);
+        }
+        write(batch);
+    }
+
+    private void write(List<Waiting> batch) {
         disk.execute(() -> {
             IOException failure = onDisk(batch);
             home.execute(() -> heard(batch, failure));
@@ -266,7 +282,11 @@
                 remember(each.at, each.mark);
                 sinceSnapshot++;
             }
-            batch.forEach(each -> each.done.accept(true));
+            unheard = batch.size();
+            for (Waiting each : batch) {
+                unheard--;
+                each.done.accept(true);
+            }
         }
         flush();
     }
@@ -275,7 +295,7 @@
 
     /** Whether so many updates have come since the last snapshot that the next one is due. */
     public boolean snapshotDue() {
-        return sinceSnapshot >= snapshotAfter && !snapshotting && !writing && waiting.isEmpty();
+        return sinceSnapshot >= snapshotAfter && unheard == 0 && !snapshotting && !writing && waiting.isEmpty();
     }
 
     /** Writes the zone as all that was heard of made it; the journal goes on in a new file meanwhile. Call when due. */
--- /dev/null
+++ b/src/test/java/merlinlever/cli/zone/KillTest.java
@@ -0,0 +1,165 @@
+package merlinlever.cli.zone;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import merlinlever.zone.client.Asker;
+import merlinlever.zone.client.Fetch;
+import merlinlever.zone.client.Updates;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.record.Types;
+import merlinlever.zone.state.Entry;
+import merlinlever.zone.state.Zone;
+import merlinlever.zone.wire.Tsig;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real process, killed under updates again and again; what clients were answered is audited after each start. */
+class KillTest {
+
+    private static final int KILLS = Integer.getInteger("zone.kills", 6);
+    private static final int CLIENTS = 8;
+    private static final byte[] SECRET = "0123456789abcdef0123456789abcdef".getBytes();
+    private static final byte[] ORIGIN = name("example.org.");
+
+    @TempDir Path folder;
+
+    private static byte[] name(String text) {
+        try {
+            return Names.absolute(text);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Process process;
+    private InetSocketAddress address;
+    private BufferedReader log;
+
+    private void launch() throws Exception {
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC",
+                "-Xmx128m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main", "zone", "serve", "--config",
+                folder.resolve("c.yaml").toString()).redirectErrorStream(true).start();
+        log = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        StringBuilder said = new StringBuilder();
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            said.append(line).append('\n');
+            int at = line.indexOf("listening on ");
+            if (at >= 0) {
+                address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+                return;
+            }
+        }
+        throw new AssertionError("did not start: " + said);
+    }
+
+    @Test void whatWasAnsweredIsThereAfterEveryKill() throws Exception {
+        Files.writeString(folder.resolve("k"), Base64.getEncoder().encodeToString(SECRET));
+        Files.writeString(folder.resolve("z"), "$ORIGIN example.org.\n$TTL 60\n@ IN SOA ns1 host 7 1h 15m 1w 5m\n@ NS ns1\n");
+        Files.writeString(folder.resolve("c.yaml"), """
+                listen: 127.0.0.1:0
+                state: state
+                snapshot-after: 200
+                stop: 1s
+                keys: [{name: k., secret-file: k}]
+                zones: [{origin: example.org., file: z, update: [k.], transfer: [k.]}]
+                """);
+        SplittableRandom chance = new SplittableRandom(8);
+        Tsig.Key key = new Tsig.Key(name("k."), "hmac-sha256", SECRET);
+        Loop loop = new Loop(Clock.system(), Throwable::printStackTrace);
+        Asker asker = new Asker(loop, chance.split(), () -> System.currentTimeMillis() / 1000);
+        new Thread(loop::run).start();
+        int[] sent = new int[CLIENTS];
+        int[] answered = new int[CLIENTS];
+        int[] before = new int[CLIENTS];
+        int all = 0;
+        try {
+            for (int kill = 0; kill <= KILLS; kill++) {
+                launch();
+                if (kill > 0) {
+                    Zone zone = fetch(loop, asker, key);
+                    for (int i = 0; i < CLIENTS; i++) {
+                        int there = zone.set(name("c" + i + ".example.org."), Types.TXT) == null ? 0
+                                : Integer.parseInt(new String(zone.set(name("c" + i + ".example.org."), Types.TXT).data(0)).substring(1));
+                        assertTrue(there >= answered[i] && there <= sent[i],
+                                "kill " + kill + ": answered " + answered[i] + ", sent " + sent[i] + ", there " + there);
+                        all += there - before[i];
+                        before[i] = there;
+                        answered[i] = there;
+                        sent[i] = there;
+                    }
+                }
+                if (kill == KILLS) {
+                    break;
+                }
+                InetSocketAddress to = address;
+                boolean[] over = {false};
+                loop.execute(() -> {
+                    for (int i = 0; i < CLIENTS; i++) {
+                        go(asker, to, key, i, sent, answered, over);
+                    }
+                });
+                Thread.sleep(20 + chance.nextInt(400));
+                process.destroyForcibly().waitFor();
+                CompletableFuture<Boolean> told = new CompletableFuture<>();
+                loop.execute(() -> {
+                    over[0] = true;
+                    told.complete(true);
+                });
+                told.get(2, TimeUnit.SECONDS);
+            }
+            assertTrue(all > 100, "updates were answered: " + all);
+            process.destroy();
+            assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+            assertEquals(143, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+            asker.close();
+            loop.stop();
+        }
+    }
+
+    private static Zone fetch(Loop loop, Asker asker, InetSocketAddress address, Tsig.Key key) throws Exception {
+        CompletableFuture<Fetch.Fetched> ended = new CompletableFuture<>();
+        loop.execute(() -> Fetch.zone(asker, address, ORIGIN, key, ended::complete));
+        Fetch.Fetched fetched = ended.get(9, TimeUnit.SECONDS);
+        assertNotNull(fetched.zone(), fetched.why());
+        return fetched.zone();
+    }
+
+    private Zone fetch(Loop loop, Asker asker, Tsig.Key key) throws Exception {
+        return fetch(loop, asker, address, key);
+    }
+
+    private static void go(Asker asker, InetSocketAddress to, Tsig.Key key, int client, int[] sent, int[] answered, boolean[] over) {
+        if (over[0]) {
+            return;
+        }
+        int number = ++sent[client];
+        byte[] owner = name("c" + client + ".example.org.");
+        byte[] text = (" " + number).getBytes();
+        text[0] = (byte) (text.length - 1);
+        byte[] message = Updates.message(ORIGIN, List.of(), List.of(new Entry(owner, Types.TXT, Types.CLASS_ANY, 0, null),
+                new Entry(owner, Types.TXT, Types.IN, 60, text)), key);
+        asker.ask(to, message, key, Duration.ofSeconds(1), ended -> {
+            if (ended.well() && !over[0]) {
+                answered[client] = number;
+                go(asker, to, key, client, sent, answered, over);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/zone/client/ClientTest.java
@@ -0,0 +1,284 @@
+package merlinlever.zone.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import merlinlever.zone.record.Names;
+import merlinlever.zone.record.Types;
+import merlinlever.zone.state.Entry;
+import merlinlever.zone.wire.Message;
+import merlinlever.zone.wire.Tsig;
+import merlinlever.zone.wire.Writer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The client before a stand-in that answers wrongly in each way that the protocol allows to be wrong. */
+class ClientTest {
+
+    private static final byte[] SECRET = "0123456789abcdef0123456789abcdef".getBytes();
+    private static final Duration PATIENCE = Duration.ofMillis(900);
+
+    private Loop loop;
+    private Asker asker;
+    private Tsig.Key key;
+    private DatagramSocket udp;
+    private ServerSocket tcp;
+    private final AtomicInteger came = new AtomicInteger();
+
+    /** What the stand-in does with one message. */
+    private interface Act {
+        void on(byte[] asked, InetSocketAddress from) throws Exception;
+    }
+
+    @BeforeEach void start() throws Exception {
+        loop = new Loop(Clock.system(), Throwable::printStackTrace);
+        asker = new Asker(loop, new SplittableRandom(1), () -> System.currentTimeMillis() / 1000);
+        key = new Tsig.Key(Names.absolute("k."), "hmac-sha256", SECRET);
+        new Thread(loop::run).start();
+        udp = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        tcp = new ServerSocket(udp.getLocalPort(), 5, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach void stop() throws Exception {
+        asker.close();
+        loop.stop();
+        udp.close();
+        tcp.close();
+    }
+
+    private void datagrams(Act act) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    DatagramPacket got = new DatagramPacket(new byte[65_535], 65_535);
+                    udp.receive(got);
+                    came.incrementAndGet();
+                    act.on(Arrays.copyOf(got.getData(), got.getLength()), (InetSocketAddress) got.getSocketAddress());
+                }
+            } catch (Exception e) {
+                // Over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** What the stand-in does with one connection. */
+    private interface Talk {
+        void on(byte[] asked, DataOutputStream out, Socket socket) throws Exception;
+    }
+
+    private void connections(Talk talk) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = tcp.accept();
+                    DataInputStream in = new DataInputStream(socket.getInputStream());
+                    byte[] asked = new byte[in.readUnsignedShort()];
+                    in.readFully(asked);
+                    talk.on(asked, new DataOutputStream(socket.getOutputStream()), socket);
+                }
+            } catch (Exception e) {
+                // Over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void send(byte[] octets, InetSocketAddress to) throws Exception {
+        udp.send(new DatagramPacket(octets, octets.length, to));
+    }
+
+    private static byte[] answer(byte[] asked, int id, int code, int flags) throws Exception {
+        Message message = Message.read(asked);
+        return new Writer(id, Message.RESPONSE | flags | message.operation() << 11 | code, Message.MOST)
+                .question(message.name(), message.type(), message.dclass()).done();
+    }
+
+    private byte[] signed(byte[] asked, byte[] answer) throws Exception {
+        return Tsig.sign(answer, key, System.currentTimeMillis() / 1000, Message.read(asked).signature().mac()).octets();
+    }
+
+    private static byte[] update() throws Exception {
+        return Updates.message(Names.absolute("example.org."), List.of(),
+                List.of(new Entry(Names.absolute("a.example.org."), Types.A, Types.IN, 1, new byte[4])), null);
+    }
+
+    private Answered ask(Tsig.Key with) throws Exception {
+        CompletableFuture<Answered> ended = new CompletableFuture<>();
+        byte[] update = update();
+        InetSocketAddress to = (InetSocketAddress) udp.getLocalSocketAddress();
+        loop.execute(() -> asker.ask(to, update, with, PATIENCE, ended::complete));
+        return ended.get(5, TimeUnit.SECONDS);
+    }
+
+    @Test void onlyTheAnswerToTheQuestionFromTheServerWithItsSignatureCounts() throws Exception {
+        datagrams((asked, from) -> {
+            int id = Message.id(asked);
+            // A wrong id, another address, no signature, one of another question, one cut, then the right one.
+            send(signed(asked, answer(asked, id ^ 1, 5, 0)), from);
+            try (DatagramSocket other = new DatagramSocket()) {
+                byte[] forged = signed(asked, answer(asked, id, 5, 0));
+                other.send(new DatagramPacket(forged, forged.length, from));
+            }
+            send(answer(asked, id, 5, 0), from);
+            send(Tsig.sign(answer(asked, id, 5, 0), key, System.currentTimeMillis() / 1000, new byte[32]).octets(), from);
+            byte[] cut = signed(asked, answer(asked, id, 5, 0));
+            send(Arrays.copyOf(cut, cut.length - 7), from);
+            Thread.sleep(30);
+            send(signed(asked, answer(asked, id, 0, 0)), from);
+        });
+        assertTrue(ask(key).well());
+    }
+
+    @Test void noAnswerIsLostNotUndoneAndTheSameDatagramGoesAgain() throws Exception {
+        byte[][] first = new byte[1][];
+        datagrams((asked, from) -> {
+            first[0] = first[0] == null ? asked : first[0];
+            assertTrue(Arrays.equals(first[0], asked));
+        });
+        assertEquals(Answered.Way.LOST, ask(key).way());
+        assertTrue(came.get() >= 2 && came.get() <= 5, "" + came.get());
+    }
+
+    @Test void aKeyThatIsNotTakenIsToldApartFromSilence() throws Exception {
+        datagrams((asked, from) -> send(Tsig.unsignedError(answer(asked, Message.id(asked), 9, 0), Message.read(asked).signature(), Tsig.BADKEY), from));
+        assertEquals(Answered.Way.KEY_REFUSED, ask(key).way());
+    }
+
+    @Test void aTruncatedAnswerIsFetchedOverAConnection() throws Exception {
+        datagrams((asked, from) -> send(answer(asked, Message.id(asked), 0, Message.TRUNCATED), from));
+        connections((asked, out, socket) -> {
+            byte[] answer = answer(asked, Message.id(asked), 3, 0);
+            out.writeShort(answer.length);
+            for (byte octet : answer) {
+                out.write(octet);
+                out.flush();
+            }
+        });
+        Answered answered = ask(null);
+        assertEquals(Answered.Way.ANSWERED, answered.way());
+        assertEquals(3, answered.message().code());
+    }
+
+    @Test void halfAnAnswerOrOneThatTakesForEverIsLost() throws Exception {
+        datagrams((asked, from) -> send(answer(asked, Message.id(asked), 0, Message.TRUNCATED), from));
+        connections((asked, out, socket) -> {
+            byte[] answer = answer(asked, Message.id(asked), 0, 0);
+            out.writeShort(answer.length);
+            out.write(answer, 0, 10);
+            out.flush();
+            if (came.get() > 1) {
+                socket.close();
+            }
+        });
+        long began = System.nanoTime();
+        assertEquals(Answered.Way.LOST, ask(null).way());
+        assertTrue(System.nanoTime() - began >= 700_000_000L);
+        assertEquals(Answered.Way.LOST, ask(null).way());
+    }
+
+    @Test void nobodyThereIsUnreachable() throws Exception {
+        tcp.close();
+        datagrams((asked, from) -> send(answer(asked, Message.id(asked), 0, Message.TRUNCATED), from));
+        assertEquals(Answered.Way.UNREACHABLE, ask(null).way());
+    }
+
+    private Fetch.Fetched fetch(Talk talk) throws Exception {
+        connections(talk);
+        CompletableFuture<Fetch.Fetched> ended = new CompletableFuture<>();
+        byte[] origin = Names.absolute("example.org.");
+        InetSocketAddress to = (InetSocketAddress) udp.getLocalSocketAddress();
+        loop.execute(() -> Fetch.zone(asker, to, origin, key, ended::complete));
+        return ended.get(9, TimeUnit.SECONDS);
+    }
+
+    private static byte[] part(byte[] asked, boolean first, boolean last, int records) throws Exception {
+        Message message = Message.read(asked);
+        byte[] soa = new byte[22];
+        Writer out = new Writer(message.id(), Message.RESPONSE, Message.MOST);
+        out.question(message.name(), message.type(), message.dclass());
+        if (first) {
+            out.record(1, message.name(), Types.SOA, Types.IN, 1, soa);
+        }
+        for (int i = 0; i < records; i++) {
+            out.record(1, Names.absolute("n" + i + ".example.org."), Types.A, Types.IN, 1, new byte[] {1, 2, 3, (byte) i});
+        }
+        if (last) {
+            out.record(1, message.name(), Types.SOA, Types.IN, 1, soa);
+        }
+        return out.done();
+    }
+
+    @Test void aTransferIsWholeOrNothing() throws Exception {
+        Fetch.Fetched whole = fetch((asked, out, socket) -> {
+            Tsig.Chain chain = new Tsig.Chain(key, Message.read(asked).signature().mac());
+            for (int i = 0; i < 3; i++) {
+                byte[] message = chain.sign(part(asked, i == 0, i == 2, 50), System.currentTimeMillis() / 1000);
+                out.writeShort(message.length);
+                out.write(message);
+            }
+            out.flush();
+        });
+        assertNotNull(whole.zone(), whole.why());
+        assertEquals(51, whole.zone().records());
+    }
+
+    @Test void aTransferThatIsCutOrNotSignedToItsEndIsNothing() throws Exception {
+        int[] round = {0};
+        Talk talk = (asked, out, socket) -> {
+            Tsig.Chain chain = new Tsig.Chain(key, Message.read(asked).signature().mac());
+            byte[] first = chain.sign(part(asked, true, false, 50), System.currentTimeMillis() / 1000);
+            out.writeShort(first.length);
+            out.write(first);
+            switch (round[0]++) {
+                case 0 -> socket.close();
+                case 1 -> {
+                    byte[] last = part(asked, false, true, 50);
+                    out.writeShort(last.length);
+                    out.write(last);
+                }
+                case 2 -> {
+                    out.writeShort(4000);
+                    out.write(new byte[100]);
+                    out.flush();
+                    socket.close();
+                }
+                default -> {
+                    byte[] other = part(asked, true, false, 1);
+                    other[other.length - 30] ^= 1;
+                    byte[] last = chain.sign(other, System.currentTimeMillis() / 1000);
+                    out.writeShort(last.length);
+                    out.write(last);
+                }
+            }
+            out.flush();
+        };
+        for (int i = 0; i < 4; i++) {
+            Fetch.Fetched cut = fetch(talk);
+            assertNull(cut.zone());
+            assertTrue(cut.why().startsWith("the transfer"), cut.why());
+        }
+    }
+}
