--- a/src/main/java/merlinlever/measure/Table.java
+++ b/src/main/java/merlinlever/measure/Table.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.CategorySeries;
 import org.knowm.xchart.VectorGraphicsEncoder;
 import org.knowm.xchart.style.Styler;
 
@@ -53,6 +54,10 @@
         CategoryChart chart = new CategoryChartBuilder().width(900).height(420).title(title).yAxisTitle(unit).build();
         chart.getStyler().setLegendPosition(Styler.LegendPosition.InsideNW);
         chart.getStyler().setYAxisLogarithmic(logarithmic);
+        if (logarithmic) {
+            // Bars have no foot on such an axis.
+            chart.getStyler().setDefaultSeriesRenderStyle(CategorySeries.CategorySeriesRenderStyle.Line);
+        }
         chart.getStyler().setXAxisLabelRotation(30);
         List<String> at = new ArrayList<>();
         for (List<String> row : rows) {
--- a/src/main/java/merlinlever/zone/follow/Fleet.java
+++ b/src/main/java/merlinlever/zone/follow/Fleet.java
@@ -52,7 +52,9 @@
 
     private void look(Duration now, Instance instance) {
         boolean alive = alive(now, instance);
-        instance.penalty *= Math.pow(0.5, now.minus(instance.penaltyAt).toNanos() / (double) damp.toNanos());
+        if (instance.penalty > 0) {
+            instance.penalty *= Math.pow(0.5, now.minus(instance.penaltyAt).toNanos() / (double) damp.toNanos());
+        }
         instance.penaltyAt = now;
         if (instance.was && !alive) {
             instance.penalty += 1;
--- a/src/main/java/merlinlever/zone/front/Desk.java
+++ b/src/main/java/merlinlever/zone/front/Desk.java
@@ -57,6 +57,7 @@
     private Duration now = Duration.ZERO;
     private boolean touched;
     private int inHand;
+    private int sinceSettled;
 
     /** Octets as a key of a map. */
     private record Octets(byte[] octets) {
@@ -246,6 +247,10 @@
     }
 
     private Asked take(Asked asked, Duration waited, Asked original) {
+        if (++sinceSettled > IN_ONE_GO) {
+            // A burst that came at once is begun as it is read: what waits for the end of the batch is not waiting.
+            settle(now);
+        }
         touched = true;
         inHand++;
         counts.taken(asked.kind);
@@ -295,6 +300,7 @@
 
     /** After each batch: settles as often as something has happened since. */
     public void settle(Duration at) {
+        sinceSettled = 0;
         while (touched) {
             touched = false;
             now = at;
--- a/src/test/java/merlinlever/zone/front/FrontTest.java
+++ b/src/test/java/merlinlever/zone/front/FrontTest.java
@@ -312,6 +312,23 @@
         }
     }
 
+    @Test void aBurstOnAColdServerIsBegunAsItIsRead() throws Exception {
+        byte[] good = question("tickets.example.org.", Type.A).toWire();
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.setSoTimeout(2000);
+            for (int i = 0; i < 300; i++) {
+                socket.send(new DatagramPacket(good, good.length, address));
+            }
+            int refused = 0;
+            for (int i = 0; i < 300; i++) {
+                DatagramPacket got = new DatagramPacket(new byte[512], 512);
+                socket.receive(got);
+                refused += (got.getData()[3] & 15) == Rcode.REFUSED ? 1 : 0;
+            }
+            assertEquals(0, refused);
+        }
+    }
+
     @Test void moreConnectionsThanAllowedMakeRoom() throws Exception {
         Socket[] idle = new Socket[12];
         for (int i = 0; i < idle.length; i++) {
