Write a followed name whole, after a name was emptied by a reading of two versions

The claim and the records are two questions; a server that goes back between them and then again shows a claim that fits beside other records, and taking out only what differs took out all.

Change: an update that changes the records replaces the owned sets whole; what all instances would need is checked to fit one message at the start.

--- a/src/main/java/merlinlever/cli/fleet/FleetCommands.java
+++ b/src/main/java/merlinlever/cli/fleet/FleetCommands.java
@@ -77,7 +77,7 @@
         private String host;
         @Option(names = "--label", paramLabel = "KEY=VALUE", description = "those with this label; may come several times")
         private Map<String, String> labels = new LinkedHashMap<>();
-        @Option(names = "--state", paramLabel = "STATE", description = "those in this state: down, starting, cold, warm, slow, hung, draining, unreached, given_up")
+        @Option(names = "--state", paramLabel = "STATE", description = "those in this state: down, starting, cold, warm, there, slow, hung, draining, unreached, given_up")
         private String state;
         @Option(names = "--all", description = "all of them")
         private boolean all;
--- a/src/main/java/merlinlever/cli/zone/ZoneFollower.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneFollower.java
@@ -14,6 +14,7 @@
 import merlinlever.sheet.Sheet;
 import merlinlever.zone.client.Asker;
 import merlinlever.zone.client.FollowerLink;
+import merlinlever.zone.client.Updates;
 import merlinlever.zone.follow.Follower;
 import merlinlever.zone.record.Malformed;
 import merlinlever.zone.record.Names;
@@ -69,6 +70,9 @@
             loop = new Loop(clock, failure -> LOG.error("failed", failure));
             asker = new Asker(loop, chance.split(), () -> System.currentTimeMillis() / 1000);
             Follower follower = new Follower(clock.now(), stated, chance.split(), LOG::info);
+            if (Updates.message(zone, List.of(), follower.largest(), key) == null) {
+                throw sheet.fault("instances", records.size() + " records do not fit one update of 65,535 octets");
+            }
             link = new FollowerLink(loop, asker, follower, servers, key, zone, name, names, Duration.ofSeconds(2));
             pulses = sheet.has("pulse") ? new Datagrams(loop, Given.address(sheet, "pulse"), 1024, (octets, from, waited) -> link.came(octets)) : null;
         } catch (IllegalArgumentException e) {
--- a/src/main/java/merlinlever/zone/follow/Follower.java
+++ b/src/main/java/merlinlever/zone/follow/Follower.java
@@ -347,19 +347,19 @@
         return prerequisites;
     }
 
+    /**
+     * The whole of the owned sets anew, in one update. Taking out and putting in only what differs from what was read
+     * emptied a name once in 15,000 tries: claim and records are read by two questions, and a server that goes back between
+     * them may show a claim that fits again beside other records.
+     */
     private List<Entry> changes(Claim mine, List<Rec> wanted) {
         List<Entry> changes = new ArrayList<>();
-        TreeSet<Rec> before = sorted(known.records());
-        TreeSet<Rec> after = sorted(wanted);
-        // The new ones first: at no step of it is the name empty, even for a server that shows the steps.
-        for (Rec rec : after) {
-            if (!before.contains(rec)) {
-                changes.add(new Entry(rec.owner(), rec.type(), Types.IN, rec.ttl(), rec.data()));
+        if (!same(wanted, known.records())) {
+            for (int type : OWNED) {
+                changes.add(new Entry(stated.name, type, Types.CLASS_ANY, 0, null));
             }
-        }
-        for (Rec rec : before) {
-            if (!after.contains(rec) && !sameData(after, rec)) {
-                changes.add(new Entry(rec.owner(), rec.type(), Types.CLASS_NONE, 0, rec.data()));
+            for (Rec rec : sorted(wanted)) {
+                changes.add(new Entry(rec.owner(), rec.type(), Types.IN, rec.ttl(), rec.data()));
             }
         }
         changes.add(new Entry(claimName, Types.TXT, Types.CLASS_ANY, 0, null));
@@ -367,9 +367,13 @@
         return changes;
     }
 
-    /** Only its time to live changes, which putting it in again does. */
-    private static boolean sameData(TreeSet<Rec> records, Rec rec) {
-        return records.stream().anyMatch(other -> other.type() == rec.type() && Arrays.equals(other.data(), rec.data()));
+    /** What the largest update would hold; it has to fit one message. */
+    public List<Entry> largest() {
+        Claim longest = new Claim(stated.owner, stated.holder, 999_999_999_999_999L, 999_999_999_999_999L);
+        List<Entry> all = prerequisites(longest);
+        stated.instances.forEach(rec -> all.add(new Entry(rec.owner(), rec.type(), Types.IN, rec.ttl(), rec.data())));
+        all.add(new Entry(claimName, Types.TXT, Types.IN, stated.ttl, longest.data()));
+        return all;
     }
 
     private static TreeSet<Rec> sorted(List<Rec> records) {
--- a/src/test/java/merlinlever/zone/follow/FollowerTest.java
+++ b/src/test/java/merlinlever/zone/follow/FollowerTest.java
@@ -262,6 +262,10 @@
     }
 
     @Test void whateverTheServerDoesTheNameEndsOnTheLiveFleetAndNothingElseIsTouched() {
+        // Found among 60,000: a name was emptied where claim and records were read of two versions.
+        for (long seed : SEEDS == 1 ? new long[0] : new long[] {30243, 44393, 67365, 78710}) {
+            play(seed);
+        }
         for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
             play(seed);
         }
