Tell a rejected zone file in one place; look for a launch's token as the text it is

Need: reading the change again found the same two log lines at the start and at SIGHUP, and a token turned to octets and back for each variable of each process.

Change: ZoneServer.rejected serves both; Processes.byToken compares text. Behaviour as before.

--- a/src/main/java/merlinlever/cli/zone/ZoneServer.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneServer.java
@@ -168,11 +168,15 @@
         try {
             LOG.info(served.reload(ZoneFile.read(file, origin), unix()));
         } catch (ZoneFile.Rejected e) {
-            LOG.warn("{}: the file is rejected, what was served before stays", served.name());
-            e.faults().forEach(LOG::warn);
+            rejected(served, e);
         }
     }
 
+    private static void rejected(Served served, ZoneFile.Rejected why) {
+        LOG.warn("{}: the file is rejected, what was served before stays", served.name());
+        why.faults().forEach(LOG::warn);
+    }
+
     /** The files are read beside the loop, which goes on answering. */
     private void reloadAll() {
         zones.forEach((served, file) -> snapshots.execute(() -> {
@@ -180,8 +184,7 @@
                 Zone read = ZoneFile.read(file, served.origin());
                 loop.execute(() -> LOG.info(served.reload(read, unix())));
             } catch (ZoneFile.Rejected e) {
-                LOG.warn("{}: the file is rejected, what was served before stays", served.name());
-                e.faults().forEach(LOG::warn);
+                rejected(served, e);
             }
         }));
     }
--- a/src/main/java/merlinlever/host/run/Processes.java
+++ b/src/main/java/merlinlever/host/run/Processes.java
@@ -54,13 +54,13 @@
 
     /** The process that carries the token, or null. */
     static Known byToken(String token) {
-        byte[] wanted = (TOKEN + "=" + token).getBytes(StandardCharsets.US_ASCII);
+        String wanted = TOKEN + "=" + token;
         try (Stream<Path> all = Files.list(Path.of("/proc"))) {
             for (Path each : all.filter(path -> path.getFileName().toString().matches("[0-9]+")).toList()) {
                 try {
                     String environment = new String(Files.readAllBytes(each.resolve("environ")), StandardCharsets.ISO_8859_1);
                     for (String variable : environment.split("\0")) {
-                        if (variable.equals(new String(wanted, StandardCharsets.US_ASCII))) {
+                        if (variable.equals(wanted)) {
                             long pid = Long.parseLong(each.getFileName().toString());
                             Long ticks = startTicks(pid);
                             if (ticks != null) {
