--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -627,8 +627,10 @@
         if (onCores >= cores && reached(ends.plus(millis(waiting * ms(span))), op.soft)) {
             pushBack(op, now, Reason.HOPELESS, op.again || dear(), longestStayAway);
         } else if (refuses(op)) {
+            // RED refuses only while the hold is long, as it is on its neighbours under the same load: a walk
+            // costs each of them a read and, where callers are many, a new connection, and is refused again.
             count = 0;
-            pushBack(op, now, Reason.CHANCE, op.again || dear(), stayAway());
+            pushBack(op, now, Reason.CHANCE, true, stayAway());
         } else {
             count++;
             keepFor(op, now);
