Shape settings checked at start, and a watch mode that counts where they would differ

The real backend reads halt, say, readiness and below from its settings as the module does; now a value outside what each allows stops it with one line (file, setting, what is allowed), and absent ones keep today's behaviour.

--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import merlinlever.core.Backend;
+import merlinlever.core.Shape;
 import merlinlever.core.Stated;
 import merlinlever.directory.Reports;
 import merlinlever.http.EdgeNodes;
@@ -82,6 +83,10 @@
             log.warn("settings that are not known: " + String.join(" ", unknown));
         }
         given = Stated.translate(stated);
+        List<String> problems = Shape.problems(given);
+        if (!problems.isEmpty()) {
+            throw new Unusable(environment.get("GW_CONFIG") + ": " + problems.get(0));
+        }
         Map<String, String> rest = Json.flat(configuration);
         InetSocketAddress listen = address(rest, "listen");
         stopAfter = Duration.ofMillis((long) number(rest, "stop_ms", 3000));
@@ -220,6 +225,9 @@
 
     private void endWhenAnswered() {
         if (backend.inHand() == 0 && edge.allWritten()) {
+            if (!backend.watched().isEmpty()) {
+                log.info("watch: the watched settings would have decided otherwise " + backend.watched());
+            }
             log.info("all is answered");
             loop.stop();
         }
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -91,6 +91,11 @@
         return conductor == null ? null : conductor.control().figures();
     }
 
+    /** In the watch mode, by kind, how often the watched settings would have decided otherwise. */
+    public java.util.Map<String, Long> watched() {
+        return conductor == null ? java.util.Map.of() : conductor.watched();
+    }
+
     /** Whether the agent is up and the module calls this server healthy. */
     public boolean healthy() {
         return healthy;
--- a/src/main/java/merlinlever/core/Conductor.java
+++ b/src/main/java/merlinlever/core/Conductor.java
@@ -34,12 +34,19 @@
     private final Map<String, Integer> tenants;
     private final Map<Operation, T> known = new IdentityHashMap<>();
     private Duration alarm;
+    private final Shape watch;
 
     public Conductor(Map<String, String> given, long seed, Port<T> port) {
         this.port = port;
         tariffs = indices(given, "tariffs");
         tenants = indices(given, "tenants");
         control = new Control(given, seed);
+        watch = Shape.watching(given);
+    }
+
+    /** In the watch mode, how often by kind the watched settings would have decided otherwise; else empty. */
+    public Map<String, Long> watched() {
+        return watch == null ? Map.of() : watch.otherwise();
     }
 
     static Map<String, Integer> indices(Map<String, String> given, String list) {
@@ -77,6 +84,9 @@
 
     public void settle(Duration now) {
         Settled settled = control.settle(now);
+        if (watch != null) {
+            watch.seen(settled);
+        }
         if (!Double.isNaN(settled.level)) {
             port.level(settled.level);
         }
--- a/src/main/java/merlinlever/core/Stated.java
+++ b/src/main/java/merlinlever/core/Stated.java
@@ -49,7 +49,7 @@
             + "idle say below calls-over gauges deep-checks heeded linger readiness fresh-for allowance-per-s share "
             + "cold-share drain-grace answer-slack cpu-us-per-request cpu-us-per-s goal whole worst-class "
             + "worst-tenant worst-window penalties connection handshake late-fail origin waste telemetry how names "
-            + "tenants servers service-type ordinal tick tier tiers zone zones clients marks-retry count")
+            + "tenants servers service-type ordinal tick tier tiers zone zones clients marks-retry count watch")
             .split(" "));
 
     private Stated() {
