--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -122,7 +122,6 @@
         final Duration arrival, due, soft;
         final double kb, hintMs;
         final boolean sharable, again;
-        final int tenant;
         Phase phase = Phase.HELD;
         boolean answered, ran, halting, calledAgain;
         Ending end;
@@ -131,7 +130,7 @@
         final List<Op> followers = new ArrayList<>(0);
 
         Op(Tariff tariff, Duration arrival, Duration due, double kb, double hintMs, boolean sharable,
-                boolean again, int tenant) {
+                boolean again) {
             this.tariff = tariff;
             this.arrival = arrival;
             this.due = due;
@@ -139,7 +138,6 @@
             this.hintMs = hintMs;
             this.sharable = sharable;
             this.again = again;
-            this.tenant = tenant;
             soft = earlier(arrival.plus(tariff.softLimit).plus(millis(tariff.stretch * hintMs)), due);
         }
 
@@ -253,7 +251,7 @@
     private final Duration span;
     private final int runQueueAt;
     private final Duration grace, longestStayAway, longestUnread;
-    private final double valueOverShare, coldShare, coldMs, idleMs, callers, servers;
+    private final double coldShare, coldMs, idleMs, callers, servers;
     private final String says;
 
     private Settled next = new Settled();
@@ -266,7 +264,6 @@
     private double usedKb, avg, runQueue, done, worked, quickestRead = 1e9;
     private Duration avgAt = Duration.ZERO;
     private Duration clock = Duration.ZERO;
-    private final double[] tenantTries, allowed;
     private double closeIdleMs, saidIdleMs;
     private Duration progress = Duration.ZERO, cutAt = Duration.ZERO;
     private Duration leaveAt, stopAt;
@@ -300,7 +297,6 @@
         closeIdleMs = idleMs / 10;
         callers = number("server.callers", 1);
         servers = Math.max(1, number("servers", 1));
-        valueOverShare = number("value-over-share", 1);
         coldShare = Boolean.parseBoolean(given.get("server.cold")) ? number("rules.cold-share", 0.2) : 1;
         coldMs = Math.max(1, number("rules.cold", 1));
         says = given.getOrDefault("server.say", "none");
@@ -309,11 +305,6 @@
             tariffs.add(new Tariff(i));
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
-        allowed = IntStream.iterate(0, i -> given.containsKey("tenants." + i + ".name"), i -> i + 1)
-                .mapToDouble(i -> number("tenants." + i + ".allowance-per-s", 1e9))
-                .map(perSecond -> perSecond * ms(span) / 1000 / servers)
-                .toArray();
-        tenantTries = new double[allowed.length];
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
         double most = tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
         for (Tariff t : tariffs) {
@@ -369,7 +360,6 @@
             worked += passed * Math.min(onCores, cores);
             double fade = Math.exp(-passed / callsOverMs);
             callLoad = fade * callLoad + (1 - fade) * calling;
-            Arrays.setAll(tenantTries, i -> tenantTries[i] * Math.exp(-passed / ms(span)));
             clock = now;
         }
     }
@@ -533,19 +523,18 @@
      *
      * @param clientTimeout when its caller gives up, or null where that is not told
      * @param work the hint of its cost, or null
-     * @param tenant whose it is, or -1
      * @param again whether it is marked as a further try
      * @param sharable whether it is a read that names its subject
      * @param repeats the kept operation that it repeats, or null
      */
     public Operation take(Duration now, int tariff, Duration unread, Duration clientTimeout, double kb,
-            Duration work, int tenant, boolean again, boolean sharable, Operation repeats) {
+            Duration work, boolean again, boolean sharable, Operation repeats) {
         clock(now);
         Tariff t = tariffs.get(tariff);
         Duration arrival = now.minus(unread);
         Duration due = later(now, clientTimeout != null ? clientTimeout : arrival.plus(t.clientTimeout));
         Op op = new Op(t, arrival, due, kb, work == null ? 0 : ms(work),
-                sharable && t.kind == Kind.RETRIABLE && !fresh.isZero(), again, tenant);
+                sharable && t.kind == Kind.RETRIABLE && !fresh.isZero(), again);
         if (hand.isEmpty()) {
             progress = now;
         }
@@ -605,9 +594,6 @@
         // What waits unread waits too: its time beyond the quickest reading counts as that part of the span.
         double unread = ms(now.minus(op.arrival));
         quickestRead = Math.min(unread, quickestRead + FORGET * (unread - quickestRead));
-        if (op.tenant >= 0 && !op.again) {
-            tenantTries[op.tenant]++;
-        }
         // Neither the arrival itself nor what free cores take at once is waiting: on two cores either alone
         // was over min_th, and an idle server refused its next arrival.
         double waiting = Math.max(0, held - 1 - Math.max(0, cores - onCores)) / capacity();
@@ -637,15 +623,6 @@
         }
     }
 
-    /**
-     * What an operation of the tenant is worth against one within its share: of the first tries of the last
-     * span, those beyond this server's part of the allowance count as stated.
-     */
-    private double tenantWorth(int tenant) {
-        double within = tenant < 0 ? 1 : Math.min(1, allowed[tenant] / tenantTries[tenant]);
-        return within + (1 - within) * valueOverShare;
-    }
-
     /** How far an occupancy is from min_th (0) to max_th (1). */
     private static double excess(double occupancy) {
         return (occupancy - MIN_TH) / (MAX_TH - MIN_TH);
@@ -657,7 +634,7 @@
             return false;
         }
         double pb = excess(avg) * MAX_P;
-        double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1) / tenantWorth(op.tenant);
+        double coefficient = op.tariff.coefficient * (op.again ? AGAIN : 1);
         double pa = avg > MAX_TH || count * pb >= 1 ? 1 : coefficient * pb / (1 - count * pb);
         return chance.nextDouble() < pa;
     }
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -154,7 +154,7 @@
         Operation original = work.repeats == null ? null
                 : asked.token() == null || work.repeats.sameAs(work) ? work.repeats.handle : Conductor.UNKNOWN;
         work.handle = conductor.know(conductor.control().take(now, asked.tariff(),
-                unread.isNegative() ? Duration.ZERO : unread, asked.clientTimeout(), asked.kb(), asked.work(), conductor.tenant(asked.tenant()), asked.again(),
+                unread.isNegative() ? Duration.ZERO : unread, asked.clientTimeout(), asked.kb(), asked.work(), asked.again(),
                 asked.subject() != null, original), work);
         return work;
     }
--- a/src/main/java/merlinlever/core/Conductor.java
+++ b/src/main/java/merlinlever/core/Conductor.java
@@ -31,7 +31,6 @@
     private final Control control;
     private final Port<T> port;
     private final Map<String, Integer> tariffs;
-    private final Map<String, Integer> tenants;
     private final Map<Operation, T> known = new IdentityHashMap<>();
     private Duration alarm;
     private final Shape watch;
@@ -39,7 +38,6 @@
     public Conductor(Map<String, String> given, long seed, Port<T> port) {
         this.port = port;
         tariffs = indices(given, "tariffs");
-        tenants = indices(given, "tenants");
         control = new Control(given, seed);
         watch = Shape.watching(given);
     }
@@ -66,11 +64,6 @@
         return tariffs.getOrDefault(name, -1);
     }
 
-    /** The index of the tenant, or -1. */
-    public int tenant(String name) {
-        return name == null ? -1 : tenants.getOrDefault(name, -1);
-    }
-
     /** From here on the port hears of the operation by this name. */
     public Operation know(Operation taken, T as) {
         known.put(taken, as);
--- a/src/main/java/merlinlever/host/front/Desk.java
+++ b/src/main/java/merlinlever/host/front/Desk.java
@@ -80,7 +80,7 @@
         inHand++;
         Asked asked = new Asked(mark, run, pushedBack);
         Asked original = mark == null ? null : byMark.putIfAbsent(mark, asked);
-        Operation taken = conductor.control().take(at, mark == null ? LOOK : ORDER, Duration.ZERO, null, 4, null, -1, false, false,
+        Operation taken = conductor.control().take(at, mark == null ? LOOK : ORDER, Duration.ZERO, null, 4, null, false, false,
                 original == null ? null : original.handle);
         asked.handle = conductor.know(taken, asked);
     }
--- a/src/main/java/merlinlever/wire/Instance.java
+++ b/src/main/java/merlinlever/wire/Instance.java
@@ -79,7 +79,7 @@
         long repeats = line.whole("same-as", 0);
         Operation taken = conductor.control().take(now, tariff, span(line.number("unread-for", 0)),
                 leaves == 0 ? null : sinceStart(leaves), line.number("size-kb", 0), work == 0 ? null : span(work),
-                conductor.tenant(line.text("org")), line.flag("resent"),
+                line.flag("resent"),
                 line.text("name-key") != null && !line.flag("write"),
                 repeats == 0 ? null : byId.getOrDefault(repeats, Conductor.UNKNOWN));
         byId.put(id, conductor.know(taken, id));
--- a/src/main/java/merlinlever/zone/front/Desk.java
+++ b/src/main/java/merlinlever/zone/front/Desk.java
@@ -262,7 +262,7 @@
         counts.taken(asked.kind);
         asked.repeats = original;
         Operation taken = conductor.control().take(now, asked.kind.ordinal(), waited, null,
-                1 + asked.message.octets().length / 1024.0, null, -1, false, false, original == null ? null : original.handle);
+                1 + asked.message.octets().length / 1024.0, null, false, false, original == null ? null : original.handle);
         asked.handle = conductor.know(taken, asked);
         return asked;
     }
