--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -225,8 +225,9 @@
 
     private void endWhenAnswered() {
         if (backend.inHand() == 0 && edge.allWritten()) {
-            if (!backend.watched().isEmpty()) {
-                log.info("watch: the watched settings would have decided otherwise " + backend.watched());
+            Map<String, Long> watched = backend.watched();
+            if (!watched.isEmpty()) {
+                log.info("watch: the watched settings would have decided otherwise " + watched);
             }
             log.info("all is answered");
             loop.stop();
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -92,8 +92,8 @@
     }
 
     /** In the watch mode, by kind, how often the watched settings would have decided otherwise. */
-    public java.util.Map<String, Long> watched() {
-        return conductor == null ? java.util.Map.of() : conductor.watched();
+    public Map<String, Long> watched() {
+        return conductor == null ? Map.of() : conductor.watched();
     }
 
     /** Whether the agent is up and the module calls this server healthy. */
