--- a/src/main/java/merlinlever/cli/Commands.java
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintWriter;
 import java.util.concurrent.Callable;
+import merlinlever.cli.faults.FaultsCommands;
 import merlinlever.cli.fleet.FleetCommands;
 import merlinlever.cli.fleet.HostCommands;
 import merlinlever.cli.zone.ZoneCommands;
@@ -19,7 +20,7 @@
 @Command(name = "merlinlever", mixinStandardHelpOptions = true, version = "merlinlever 0.2.0",
         description = "Decides, inside each server of a fleet, what it takes, runs and turns away.",
         synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Commands.ServeHelp.class, Commands.WireHostHelp.class, ZoneCommands.class, HostCommands.class, FleetCommands.class,
+        subcommands = {Commands.ServeHelp.class, Commands.WireHostHelp.class, ZoneCommands.class, HostCommands.class, FleetCommands.class, FaultsCommands.class,
             Commands.SheetCommands.class,
             Commands.Measure.class})
 public final class Commands implements Runnable {
@@ -55,8 +56,8 @@
         }
 
         @Command(name = "schema", mixinStandardHelpOptions = true,
-                description = "Print the JSON Schema that a configuration is checked against: zone-serve, zone-follow or host-run.")
-        int schema(@Parameters(paramLabel = "NAME", description = "zone-serve, zone-follow or host-run") String name) {
+                description = "Print the JSON Schema that a configuration is checked against: zone-serve, zone-follow, host-run or faults.")
+        int schema(@Parameters(paramLabel = "NAME", description = "zone-serve, zone-follow, host-run or faults") String name) {
             String text = Sheet.schema(name);
             if (text == null) {
                 spec.commandLine().getErr().println("merlinlever: no schema " + name + "; there are "
@@ -71,7 +72,7 @@
 
         @Command(name = "check", mixinStandardHelpOptions = true,
                 description = "Check a configuration file against its schema; one line for each fault.")
-        int check(@Parameters(paramLabel = "NAME", description = "zone-serve, zone-follow or host-run") String name,
+        int check(@Parameters(paramLabel = "NAME", description = "zone-serve, zone-follow, host-run or faults") String name,
                 @Parameters(paramLabel = "FILE", description = "the file") java.nio.file.Path file) {
             if (Sheet.schema(name) == null) {
                 return schema(name);
--- /dev/null
+++ b/src/main/java/merlinlever/cli/faults/FaultsCommands.java
@@ -0,0 +1,114 @@
+package merlinlever.cli.faults;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import merlinlever.faults.AgentFleet;
+import merlinlever.faults.Harness;
+import merlinlever.faults.disk.CrashStates;
+import merlinlever.faults.disk.Lay;
+import merlinlever.faults.script.Script;
+import merlinlever.sheet.Sheet;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The fault harness on the command line: for tests and trials on one machine, never part of a deployment. */
+@Command(name = "faults", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+        description = "Play faults on real processes of this program on loopback and audit them from outside; make the states of a power loss.")
+public final class FaultsCommands implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Which command?");
+    }
+
+    @Command(name = "play", mixinStandardHelpOptions = true,
+            description = "Start host agents that know each other, play the script's faults on them and between them, heal, and audit "
+                    + "that they agree with what is so. Ends with 0 where they do, 1 with the seed and the steps where not.")
+    int play(@Parameters(paramLabel = "SCRIPT", description = "YAML, checked against 'config schema faults'") Path script,
+            @Option(names = "--folder", required = true, paramLabel = "FOLDER", description = "for the agents' folders, logs and records; made where it is not there") Path folder,
+            @Option(names = "--seed", paramLabel = "HEX", description = "in place of the script's") String seed) throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
+        Script.Plan plan;
+        try {
+            plan = Script.read(Sheet.read(script, "faults"));
+        } catch (Sheet.Unusable e) {
+            err.println(e.getMessage());
+            return 2;
+        }
+        if (seed != null) {
+            if (!seed.matches("[0-9a-fA-F]{1,16}")) {
+                err.println("merlinlever: --seed takes 1 to 16 hex digits, not " + seed);
+                return 2;
+            }
+            plan = new Script.Plan(plan.processes(), Long.parseUnsignedLong(seed, 16), plan.length(), plan.settle(), plan.steps());
+        }
+        if (Files.exists(folder) && !Files.isDirectory(folder)) {
+            err.println("merlinlever: --folder " + folder + " is not a folder");
+            return 2;
+        }
+        List<String> java = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main");
+        try (AgentFleet fleet = new AgentFleet(folder.toAbsolutePath(), plan.processes(), java, plan.seed())) {
+            Harness harness = new Harness(fleet, plan.seed(), line -> {
+                out.println(line);
+                out.flush();
+            });
+            harness.startAll(Duration.ofSeconds(60));
+            out.println(plan.processes() + " agents answer; playing " + plan.steps().size() + " steps over " + plan.length().toMillis() + " ms");
+            out.flush();
+            Harness.Verdict verdict = harness.play(plan);
+            out.println(verdict.told());
+            return verdict.passed() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "states", mixinStandardHelpOptions = true,
+            description = "Tell the states that a power loss may leave of a folder, from the record of its seam (MERLINLEVER_DISK_RECORD); "
+                    + "with --out, lay each in a folder of its own.")
+    int states(@Parameters(paramLabel = "RECORD", description = "a .ops file") Path record,
+            @Option(names = "--out", paramLabel = "FOLDER", description = "where each state is laid, as 00000, 00001, ...") Path into) throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        CrashStates states;
+        try {
+            if (!Files.isRegularFile(record)) {
+                spec.commandLine().getErr().println(record + ": no such file");
+                return 2;
+            }
+            states = CrashStates.of(Files.readString(record, StandardCharsets.US_ASCII));
+            int[] n = {0};
+            IOException[] failed = {null};
+            int told = states.each(state -> {
+                out.println(String.format("%05d", n[0]) + " after " + state.cut() + " of " + states.operations() + ": " + state.how() + ", "
+                        + state.files().size() + " files");
+                if (into != null && failed[0] == null) {
+                    try {
+                        Lay.into(into.resolve(String.format("%05d", n[0])), state);
+                    } catch (IOException e) {
+                        failed[0] = e;
+                    }
+                }
+                n[0]++;
+            });
+            if (failed[0] != null) {
+                throw failed[0];
+            }
+            out.println(told + " states of " + states.operations() + " operations");
+            return 0;
+        } catch (CrashStates.Malformed e) {
+            spec.commandLine().getErr().println(record + ": " + e.getMessage());
+            return 2;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/cli/faults/package-info.java
@@ -0,0 +1,2 @@
+/** The fault harness on the command line. */
+package merlinlever.cli.faults;
--- a/src/main/java/merlinlever/cli/fleet/Host.java
+++ b/src/main/java/merlinlever/cli/fleet/Host.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import merlinlever.durable.Folders;
 import merlinlever.host.disk.Ledger;
 import merlinlever.host.front.HostFront;
 import merlinlever.host.run.HostAgent;
@@ -82,7 +83,7 @@
         try {
             Clock clock = Clock.system();
             loop = new Loop(clock, failure -> LOG.error("failed", failure));
-            Ledger ledger = new Ledger(state);
+            Ledger ledger = new Ledger(Folders.open(state, System.getenv()));
             agent = new HostAgent(loop, ledger, hosted, stated, new SplittableRandom(seed), LOG::info);
             String name = sheet.text("name", "");
             Neighbours neighbours = null;
@@ -94,7 +95,9 @@
                 Members.Stated members = Members.Stated.usual(sheet.texts("members.seeds"));
                 link = new Link[1];
                 Datagrams datagrams = new Datagrams(loop, address(sheet.text("members.listen", "")), Wire.MOST, (octets, from, waited) -> link[0].came(octets, from));
-                Members known = new Members(clock.now(), new Views(name, Link.text(datagrams.address()), api, 0), members,
+                // Others send to the address it tells, which is its own unless something stands between (the fault harness).
+                String told = sheet.text("members.advertise", Link.text(datagrams.address()));
+                Members known = new Members(clock.now(), new Views(name, told, api, 0), members,
                         new SplittableRandom(seed), LOG::info);
                 link[0] = new Link(loop, datagrams, known, new Wire(secret.getBytes(StandardCharsets.UTF_8)));
                 neighbours = new Neighbours(loop, known, secret);
--- a/src/main/java/merlinlever/cli/zone/ZoneServer.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneServer.java
@@ -25,7 +25,8 @@
 import merlinlever.zone.front.Front;
 import merlinlever.zone.front.Notices;
 import merlinlever.zone.front.Served;
-import merlinlever.zone.journal.DiskFolder;
+import merlinlever.durable.Folder;
+import merlinlever.durable.Folders;
 import merlinlever.zone.journal.ZoneStore;
 import merlinlever.zone.record.Names;
 import merlinlever.zone.state.Replays;
@@ -48,7 +49,7 @@
     private final Loop loop;
     private final ExecutorService disk = thread("zone-disk");
     private final ExecutorService snapshots = thread("zone-snapshots");
-    private final DiskFolder folder;
+    private final Folder folder;
     /** Each zone with the operator's file. */
     private final Map<Served, Path> zones = new LinkedHashMap<>();
     private final List<ZoneStore> stores = new ArrayList<>();
@@ -61,7 +62,7 @@
     ZoneServer(Sheet sheet) throws Sheet.Unusable {
         try {
             loop = new Loop(clock, failure -> LOG.error("failed", failure));
-            folder = new DiskFolder(sheet.path("state", "state"));
+            folder = Folders.open(sheet.path("state", "state"), System.getenv());
         } catch (IOException e) {
             throw new Sheet.Unusable(sheet.file() + ": state: " + e.getMessage());
         }
--- a/src/main/java/merlinlever/zone/journal/DiskFolder.java
+++ b/src/main/java/merlinlever/durable/DiskFolder.java
@@ -1,6 +1,5 @@
-package merlinlever.zone.journal;
+package merlinlever.durable;
 
-import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -13,8 +12,8 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** A folder on disk, held by one process at a time. */
-public final class DiskFolder implements Folder, Closeable {
+/** A folder on disk, held by one process at a time; its files alone, not the folders in it. */
+public final class DiskFolder implements Folder {
 
     /** Octets of one file that are read at the most. */
     private static final long MOST = Integer.MAX_VALUE - 16;
@@ -40,7 +39,8 @@
 
     @Override public List<String> names() throws IOException {
         try (Stream<Path> files = Files.list(path)) {
-            return files.map(file -> file.getFileName().toString()).filter(name -> !name.equals("lock")).sorted().toList();
+            return files.filter(Files::isRegularFile).map(file -> file.getFileName().toString()).filter(name -> !name.equals("lock"))
+                    .sorted().toList();
         }
     }
 
--- /dev/null
+++ b/src/main/java/merlinlever/faults/Harness.java
@@ -0,0 +1,249 @@
+package merlinlever.faults;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import merlinlever.faults.audit.Agreement;
+import merlinlever.faults.disk.CrashStates;
+import merlinlever.faults.disk.Lay;
+import merlinlever.faults.link.Links;
+import merlinlever.faults.proc.Processes;
+import merlinlever.faults.script.Script;
+
+/**
+ * Plays a script of faults on a fleet of agents in real time, then heals all, resumes and starts again what it stopped,
+ * and audits from outside whether the agents agree with what is so. A run that fails tells its seed and every step played,
+ * so that the same faults come again in the same order.
+ */
+public final class Harness {
+
+    /** How a play ended. */
+    public record Verdict(long seed, List<String> played, List<String> breaches, Duration agreedAfter) {
+        public boolean passed() {
+            return breaches.isEmpty();
+        }
+
+        /** In a few lines: the seed, and for a failure each step and each breach. */
+        public String told() {
+            StringBuilder text = new StringBuilder((passed() ? "passed" : "FAILED") + ", seed " + Long.toHexString(seed) + ", "
+                    + played.size() + " steps");
+            if (passed()) {
+                text.append(", agreed ").append(agreedAfter.toMillis()).append(" ms after the faults");
+            } else {
+                played.forEach(step -> text.append("\n  played ").append(step));
+                breaches.forEach(breach -> text.append("\n  breach: ").append(breach));
+            }
+            return text.toString();
+        }
+    }
+
+    private static final Duration TERM = Duration.ofSeconds(15);
+    private static final Duration LOOK = Duration.ofMillis(500);
+
+    private final AgentFleet fleet;
+    private final Consumer<String> log;
+    private final boolean[] powered;
+    private final SplittableRandom chance;
+
+    public Harness(AgentFleet fleet, long seed, Consumer<String> log) {
+        this.fleet = fleet;
+        this.log = log;
+        powered = new boolean[fleet.count()];
+        chance = new SplittableRandom(seed ^ 0x5eedL);
+    }
+
+    /** Starts every agent and waits until each answers. */
+    public void startAll(Duration patience) throws IOException, InterruptedException {
+        for (int i = 0; i < fleet.count(); i++) {
+            fleet.start(i);
+        }
+        long until = System.nanoTime() + patience.toNanos();
+        for (int i = 0; i < fleet.count(); i++) {
+            while (!fleet.answers(i)) {
+                if (System.nanoTime() > until) {
+                    throw new IOException(fleet.name(i) + " did not answer within " + patience.toMillis() + " ms; see "
+                            + fleet.processes().log(fleet.name(i)));
+                }
+                Thread.sleep(50);
+            }
+        }
+    }
+
+    public Verdict play(Script.Plan plan) throws IOException, InterruptedException {
+        List<String> played = new ArrayList<>();
+        long begun = System.nanoTime();
+        for (Script.Step step : plan.steps()) {
+            long wait = step.at().toNanos() - (System.nanoTime() - begun);
+            if (wait > 0) {
+                Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+            }
+            apply(step);
+            played.add(step.told());
+            log.accept("played " + step.told());
+        }
+        long rest = plan.length().toNanos() - (System.nanoTime() - begun);
+        if (rest > 0) {
+            Thread.sleep(rest / 1_000_000);
+        }
+        fleet.links(Links::heal);
+        for (int i = 0; i < fleet.count(); i++) {
+            String name = fleet.name(i);
+            if (fleet.processes().seen(name) == Processes.Seen.PAUSED) {
+                fleet.processes().resume(name);
+            }
+            if (fleet.processes().seen(name) == Processes.Seen.ENDED) {
+                restart(i);
+            }
+        }
+        long healed = System.nanoTime();
+        List<String> breaches;
+        do {
+            Thread.sleep(LOOK.toMillis());
+            breaches = audit();
+        } while (!breaches.isEmpty() && System.nanoTime() - healed < plan.settle().toNanos());
+        return new Verdict(plan.seed(), played, breaches, Duration.ofNanos(System.nanoTime() - healed));
+    }
+
+    /** What each running agent says of the others against which run; one that cannot be asked is a breach too. */
+    public List<String> audit() {
+        List<Agreement.Said> said = new ArrayList<>();
+        List<String> breaches = new ArrayList<>();
+        for (int i = 0; i < fleet.count(); i++) {
+            if (fleet.running().get(fleet.name(i))) {
+                try {
+                    said.addAll(fleet.said(i, Duration.ofSeconds(3)));
+                } catch (IOException e) {
+                    breaches.add(fleet.name(i) + " runs and cannot be asked: " + e.getMessage());
+                }
+            }
+        }
+        breaches.addAll(Agreement.breaches(fleet.running(), said));
+        return breaches;
+    }
+
+    private List<Integer> who(List<Integer> who) {
+        if (!who.isEmpty()) {
+            return who;
+        }
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < fleet.count(); i++) {
+            all.add(i);
+        }
+        return all;
+    }
+
+    private void apply(Script.Step step) throws IOException, InterruptedException {
+        Processes processes = fleet.processes();
+        switch (step.kind()) {
+            case KILL, POWER -> {
+                for (int i : who(step.who())) {
+                    if (processes.seen(fleet.name(i)) != Processes.Seen.ENDED) {
+                        processes.kill(fleet.name(i));
+                        powered[i] = step.kind() == Script.Kind.POWER;
+                    }
+                }
+            }
+            case TERM -> {
+                for (int i : who(step.who())) {
+                    if (processes.seen(fleet.name(i)) != Processes.Seen.ENDED && !processes.term(fleet.name(i), TERM)) {
+                        log.accept(fleet.name(i) + " did not end within " + TERM.toMillis() + " ms of SIGTERM; killed");
+                        processes.kill(fleet.name(i));
+                    }
+                }
+            }
+            case PAUSE, RESUME -> {
+                for (int i : who(step.who())) {
+                    Processes.Seen seen = processes.seen(fleet.name(i));
+                    if (step.kind() == Script.Kind.PAUSE && seen == Processes.Seen.RUNNING) {
+                        processes.pause(fleet.name(i));
+                    } else if (step.kind() == Script.Kind.RESUME && seen == Processes.Seen.PAUSED) {
+                        processes.resume(fleet.name(i));
+                    }
+                }
+            }
+            case RESTART -> {
+                for (int i : who(step.who())) {
+                    if (processes.seen(fleet.name(i)) == Processes.Seen.ENDED) {
+                        restart(i);
+                    }
+                }
+            }
+            default -> fleet.links(links -> change(links, step));
+        }
+    }
+
+    private static void change(Links links, Script.Step step) {
+        int n = links.members();
+        List<Integer> who = step.who().isEmpty() ? all(n) : step.who();
+        List<Integer> to = step.to().isEmpty() ? all(n) : step.to();
+        switch (step.kind()) {
+            case ISOLATE -> who.forEach(member -> links.isolate(member, step.oneWay()));
+            case PARTITION -> links.partition(step.sides().stream().map(Set::copyOf).toList());
+            case HEAL -> links.heal();
+            default -> {
+                for (int from : who) {
+                    for (int other : to) {
+                        if (from == other) {
+                            continue;
+                        }
+                        switch (step.kind()) {
+                            case DELAY -> links.both(from, other, Links.Fault.delayed(step.delay(), step.jitter()));
+                            case DROP -> links.both(from, other, Links.Fault.lossy(step.share()));
+                            case DUPLICATE -> links.both(from, other, new Links.Fault(0, step.share(), Duration.ZERO, Duration.ZERO, 0, false));
+                            case SLOW -> links.both(from, other, Links.Fault.slow(step.bytes()));
+                            case RESET -> links.reset(from, other);
+                            default -> throw new IllegalArgumentException("not a fault of links: " + step.kind());
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private static List<Integer> all(int n) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            all.add(i);
+        }
+        return all;
+    }
+
+    /** Starts it again; after a power loss, on a state of its folders that the loss may have left, drawn from the seed. */
+    private void restart(int i) throws IOException {
+        if (powered[i]) {
+            powered[i] = false;
+            Path records = fleet.records(i);
+            if (Files.isDirectory(records)) {
+                try (Stream<Path> files = Files.list(records)) {
+                    for (Path record : files.sorted().toList()) {
+                        lay(record);
+                    }
+                }
+            }
+        }
+        fleet.processes().restart(fleet.name(i));
+    }
+
+    private void lay(Path record) throws IOException {
+        try {
+            CrashStates states = CrashStates.of(Files.readString(record, StandardCharsets.US_ASCII));
+            // Where all was forced, what a kill leaves is all that a power loss may leave.
+            List<CrashStates.State> last = states.last();
+            if (states.folder() != null && !last.isEmpty()) {
+                CrashStates.State state = last.get(chance.nextInt(last.size()));
+                Lay.into(Path.of(states.folder()), state);
+                log.accept("laid " + states.folder() + " as after a power loss: " + state.how());
+            }
+        } catch (CrashStates.Malformed e) {
+            throw new IOException(record + ": " + e.getMessage(), e);
+        }
+    }
+}
--- a/src/main/java/merlinlever/host/disk/Ledger.java
+++ b/src/main/java/merlinlever/host/disk/Ledger.java
@@ -4,23 +4,18 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.zip.CRC32C;
+import merlinlever.durable.Folder;
+import merlinlever.durable.Folders;
 
 /**
  * Which instances are wanted, and which process each has. A launch is noted before it is made, with a token that the new
  * process carries in its environment: whoever dies between the two leaves something that can be found. The file is
- * replaced whole, by a rename of one that is on the disk; its first line is the CRC-32C of the rest.
+ * replaced whole ({@link Folder#replace}); its first line is the CRC-32C of the rest.
  */
 public final class Ledger implements Closeable {
 
@@ -45,46 +40,40 @@
     }
 
     private static final int MOST = 4 << 20;
+    private static final String FILE = "instances";
 
-    private final Path file;
-    private final FileChannel lockFile;
+    private final Folder folder;
     private final ObjectMapper json = new ObjectMapper();
     private final Map<String, Noted> noted = new LinkedHashMap<>();
 
+    /** On disk, as nobody records it. */
     public Ledger(Path folder) throws IOException, Spoilt {
-        Files.createDirectories(folder);
-        file = folder.resolve("instances");
-        lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        FileLock lock;
+        this(Folders.open(folder, Map.of()));
+    }
+
+    /** Held until the ledger is closed; closed with it, and at once where it cannot be read. */
+    public Ledger(Folder folder) throws IOException, Spoilt {
+        this.folder = folder;
         try {
-            lock = lockFile.tryLock();
-        } catch (OverlappingFileLockException e) {
-            lock = null;
-        }
-        if (lock == null) {
-            lockFile.close();
-            throw new IOException("the state folder " + folder + " is in use by another agent");
-        }
-        if (Files.exists(file)) {
-            try {
-                read();
-            } catch (Spoilt e) {
-                lockFile.close();
-                throw e;
+            if (folder.has(FILE)) {
+                read(folder.read(FILE));
             }
+        } catch (IOException | Spoilt e) {
+            folder.close();
+            throw e;
         }
     }
 
-    private void read() throws IOException, Spoilt {
-        if (Files.size(file) > MOST) {
-            throw new Spoilt(file + ": over " + MOST + " octets");
+    private void read(byte[] octets) throws Spoilt {
+        if (octets.length > MOST) {
+            throw new Spoilt(FILE + ": over " + MOST + " octets");
         }
-        String text = Files.readString(file, StandardCharsets.ISO_8859_1);
+        String text = new String(octets, StandardCharsets.ISO_8859_1);
         int end = text.indexOf('\n');
         byte[] rest = text.substring(end + 1).getBytes(StandardCharsets.ISO_8859_1);
         try {
             if (end < 0 || !text.substring(0, end).equals(sum(rest))) {
-                throw new Spoilt(file + ": spoilt; running instances are found by their environment if the file is moved away, "
+                throw new Spoilt(FILE + ": spoilt; running instances are found by their environment if the file is moved away, "
                         + "but which are wanted has then to be said again");
             }
             for (Map.Entry<String, com.fasterxml.jackson.databind.JsonNode> entry : json.readTree(rest).properties()) {
@@ -93,7 +82,9 @@
                         one.path("startTicks").asLong()));
             }
         } catch (JsonProcessingException e) {
-            throw new Spoilt(file + ": is not what an agent writes");
+            throw new Spoilt(FILE + ": is not what an agent writes");
+        } catch (java.io.IOException e) {
+            throw new Spoilt(FILE + ": cannot be read: " + e.getMessage());
         }
     }
 
@@ -112,18 +103,7 @@
         Noted before = noted.put(instance, what);
         try {
             byte[] rest = json.writeValueAsBytes(noted);
-            Path made = file.resolveSibling("instances.new");
-            try (FileChannel out = FileChannel.open(made, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-                ByteBuffer octets = ByteBuffer.wrap((sum(rest) + "\n" + new String(rest, StandardCharsets.ISO_8859_1)).getBytes(StandardCharsets.ISO_8859_1));
-                while (octets.hasRemaining()) {
-                    out.write(octets);
-                }
-                out.force(true);
-            }
-            Files.move(made, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            try (FileChannel folder = FileChannel.open(file.getParent(), StandardOpenOption.READ)) {
-                folder.force(true);
-            }
+            folder.replace(FILE, (sum(rest) + "\n" + new String(rest, StandardCharsets.ISO_8859_1)).getBytes(StandardCharsets.ISO_8859_1));
         } catch (IOException e) {
             if (before == null) {
                 noted.remove(instance);
@@ -135,6 +115,6 @@
     }
 
     @Override public void close() throws IOException {
-        lockFile.close();
+        folder.close();
     }
 }
--- a/src/main/java/merlinlever/measure/DnsMeasure.java
+++ b/src/main/java/merlinlever/measure/DnsMeasure.java
@@ -32,7 +32,7 @@
 import merlinlever.zone.front.Desk;
 import merlinlever.zone.front.Front;
 import merlinlever.zone.front.Served;
-import merlinlever.zone.journal.DiskFolder;
+import merlinlever.durable.DiskFolder;
 import merlinlever.zone.journal.ZoneStore;
 import merlinlever.zone.record.Malformed;
 import merlinlever.zone.record.Names;
--- a/src/main/java/merlinlever/sheet/Sheet.java
+++ b/src/main/java/merlinlever/sheet/Sheet.java
@@ -40,7 +40,7 @@
 public final class Sheet {
 
     /** The names of all schemas. */
-    public static final List<String> SCHEMAS = List.of("zone-serve", "zone-follow", "host-run");
+    public static final List<String> SCHEMAS = List.of("zone-serve", "zone-follow", "host-run", "faults");
     private static final long MOST_BYTES = 1 << 20;
     private static final int MOST_FAULTS = 50;
 
--- a/src/main/java/merlinlever/zone/journal/ZoneStore.java
+++ b/src/main/java/merlinlever/zone/journal/ZoneStore.java
@@ -1,5 +1,6 @@
 package merlinlever.zone.journal;
 
+import merlinlever.durable.Folder;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- /dev/null
+++ b/src/test/java/merlinlever/faults/disk/CrashStatesTest.java
@@ -0,0 +1,175 @@
+package merlinlever.faults.disk;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import merlinlever.durable.DiskFolder;
+import merlinlever.durable.Recorded;
+import merlinlever.host.disk.Ledger;
+import net.jqwik.api.Example;
+
+class CrashStatesTest {
+
+    private static String b64(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static List<CrashStates.State> all(String record) throws CrashStates.Malformed {
+        List<CrashStates.State> states = new ArrayList<>();
+        CrashStates.of(record).each(states::add);
+        return states;
+    }
+
+    private static boolean holds(List<CrashStates.State> states, int cut, Map<String, String> files) {
+        return states.stream().anyMatch(state -> state.cut() == cut && state.files().size() == files.size()
+                && files.entrySet().stream().allMatch(file -> state.files().containsKey(file.getKey())
+                        && new String(state.files().get(file.getKey()), StandardCharsets.US_ASCII).equals(file.getValue())));
+    }
+
+    @Example
+    void whatWasNotForcedMayBeLostTornOrReordered() throws CrashStates.Malformed {
+        String record = "had a " + b64("old") + "\nopen b\nwrite b 0 " + b64("one") + "\nwrite b 3 " + b64("two")
+                + "\nforce b\nwrite b 6 " + b64("three") + "\nwrite b 11 " + b64("four") + "\n";
+        List<CrashStates.State> states = CrashStates.of(record).last();
+        // A kill keeps all; a power loss before the folder was forced may not even keep the name b.
+        assertTrue(holds(states, 7, Map.of("a", "old", "b", "onetwothreefour")));
+        assertTrue(holds(states, 7, Map.of("a", "old")));
+        assertTrue(holds(states, 7, Map.of("a", "old", "b", "onetwo")), "what was forced");
+        assertTrue(holds(states, 7, Map.of("a", "old", "b", "onetwothree")), "the first of two");
+        assertTrue(holds(states, 7, Map.of("a", "old", "b", "onetwoth")), "the next torn");
+        assertTrue(holds(states, 7, Map.of("a", "old", "b", "onetwo\0\0\0\0\0four")), "the last alone");
+        // Never more than was written, never something that was not.
+        assertTrue(states.stream().noneMatch(state -> state.files().containsKey("b")
+                && new String(state.files().get("b"), StandardCharsets.US_ASCII).contains("fourthree")));
+        // Each state once, over the whole record too.
+        states = all(record);
+        assertEquals(states.size(), states.stream().map(state -> state.files().toString() + state.files().keySet()
+                + state.files().values().stream().map(octets -> new String(octets, StandardCharsets.US_ASCII)).toList())
+                .distinct().count());
+    }
+
+    @Example
+    void aRenameReturnsForcedAndADeleteNeedsTheFolderForced() throws CrashStates.Malformed {
+        String record = "had x " + b64("1") + "\nopen x.new\nwrite x.new 0 " + b64("2") + "\nforce x.new\nrename x.new x\n"
+                + "delete x\n";
+        List<CrashStates.State> states = all(record);
+        assertTrue(holds(states, 5, Map.of("x", "2")));
+        List<CrashStates.State> last = CrashStates.of(record).last();
+        assertTrue(states.stream().filter(state -> state.cut() == 5).noneMatch(state -> state.files().containsKey("x")
+                && new String(state.files().get("x"), StandardCharsets.US_ASCII).equals("1")), "a rename is not undone");
+        assertTrue(holds(last, 6, Map.of()) && holds(last, 6, Map.of("x", "2")), "the delete may or may not be there");
+    }
+
+    @Example
+    void aLineThatIsNotTheSeamsIsToldWithItsNumber() {
+        assertEquals("line 2: 'scribble' is none of folder, had, open, write, force, truncate, rename, delete, sync",
+                assertThrows(CrashStates.Malformed.class, () -> CrashStates.of("open a\nscribble a\n")).getMessage());
+        assertThrows(CrashStates.Malformed.class, () -> CrashStates.of("write a 0 " + b64("x") + "\n").each(state -> { }));
+    }
+
+    /**
+     * The agent's ledger after every state that a power loss may leave of a day of notes: it opens, and each instance is
+     * as it was last noted before the cut, or as the note then under way says; never older, never spoilt.
+     */
+    @Example
+    void theLedgerBelievesNothingThatWasNotForcedAndLosesNothingThatWas() throws Exception {
+        Path root = Files.createTempDirectory("merlinlever-crash");
+        try {
+            List<String> lines = new ArrayList<>();
+            Recorded.Record record = new Recorded.Record() {
+                @Override public void line(String text) {
+                    lines.add(text);
+                }
+
+                @Override public void close() {
+                }
+            };
+            SplittableRandom chance = new SplittableRandom(0x5eed_2026L);
+            List<Map<String, Ledger.Noted>> after = new ArrayList<>();
+            List<Integer> returnedAt = new ArrayList<>();
+            Map<String, Ledger.Noted> now = new java.util.TreeMap<>();
+            try (Ledger ledger = new Ledger(new Recorded(new DiskFolder(root.resolve("day")), record, "day"))) {
+                for (int i = 0; i < 24; i++) {
+                    String instance = "i-" + chance.nextInt(4);
+                    Ledger.Noted noted = new Ledger.Noted(chance.nextBoolean(), "t" + i, chance.nextInt(1, 99_999), i);
+                    ledger.note(instance, noted);
+                    now.put(instance, noted);
+                    after.add(new java.util.TreeMap<>(now));
+                    returnedAt.add(lines.size());
+                }
+            }
+            CrashStates states = CrashStates.of(String.join("\n", lines) + "\n");
+            int[] checked = {0};
+            int told = states.each(state -> {
+                int done = 0;
+                while (done < returnedAt.size() && returnedAt.get(done) <= state.cut()) {
+                    done++;
+                }
+                Path folder = root.resolve("state-" + checked[0]++);
+                try {
+                    Lay.into(folder, state);
+                    try (Ledger opened = new Ledger(folder)) {
+                        boolean asBefore = agrees(opened, done == 0 ? Map.of() : after.get(done - 1));
+                        boolean asNext = done < after.size() && agrees(opened, after.get(done));
+                        assertTrue(asBefore || asNext, "cut " + state.cut() + " (" + state.how() + ") after "
+                                + done + " notes returned");
+                    }
+                } catch (IOException | Ledger.Spoilt e) {
+                    throw new AssertionError("cut " + state.cut() + " (" + state.how() + "): " + e.getMessage(), e);
+                } finally {
+                    remove(folder);
+                }
+            });
+            assertEquals(told, checked[0]);
+            assertTrue(told > 50, "states laid: " + told);
+        } finally {
+            remove(root);
+        }
+    }
+
+    private static boolean agrees(Ledger ledger, Map<String, Ledger.Noted> noted) {
+        for (int i = 0; i < 4; i++) {
+            if (!ledger.of("i-" + i).equals(noted.getOrDefault("i-" + i, Ledger.Noted.NOTHING))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static void remove(Path folder) {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Example
+    void aStateLaidIsReadBackAsItWas() throws Exception {
+        Path folder = Files.createTempDirectory("merlinlever-lay");
+        try {
+            Files.writeString(folder.resolve("stale"), "gone");
+            CrashStates.State state = CrashStates.of("had k " + b64("v") + "\n").last().get(0);
+            Lay.into(folder, state);
+            assertArrayEquals("v".getBytes(StandardCharsets.US_ASCII), Files.readAllBytes(folder.resolve("k")));
+            assertTrue(Files.notExists(folder.resolve("stale")));
+        } finally {
+            remove(folder);
+        }
+    }
+}
--- a/src/test/java/merlinlever/zone/front/FrontTest.java
+++ b/src/test/java/merlinlever/zone/front/FrontTest.java
@@ -27,7 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
-import merlinlever.zone.journal.DiskFolder;
+import merlinlever.durable.DiskFolder;
 import merlinlever.zone.journal.ZoneStore;
 import merlinlever.zone.record.Names;
 import merlinlever.zone.state.Replays;
--- a/src/test/java/merlinlever/zone/journal/MemoryFolder.java
+++ b/src/test/java/merlinlever/zone/journal/MemoryFolder.java
@@ -1,5 +1,6 @@
 package merlinlever.zone.journal;
 
+import merlinlever.durable.Folder;
 import java.io.FileNotFoundException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/test/java/merlinlever/zone/journal/ZoneStoreTest.java
+++ b/src/test/java/merlinlever/zone/journal/ZoneStoreTest.java
@@ -1,5 +1,6 @@
 package merlinlever.zone.journal;
 
+import merlinlever.durable.Folder;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
