One way to start the harness's agents; who() uses all() of the harness

Read once more: the java command of the agents stood twice (faults play and AgentFaultsTest), and Harness.who wrote again the loop of Harness.all. Now AgentFleet.sameJava serves both, and who() calls all(). Behaviour as before: AgentFaultsTest (3 real agents) and ScriptTest pass.

--- a/src/main/java/merlinlever/cli/faults/FaultsCommands.java
+++ b/src/main/java/merlinlever/cli/faults/FaultsCommands.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import merlinlever.faults.AgentFleet;
 import merlinlever.faults.Harness;
 import merlinlever.faults.disk.CrashStates;
@@ -58,9 +57,7 @@
             err.println("merlinlever: --folder " + folder + " is not a folder");
             return 2;
         }
-        List<String> java = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main");
-        try (AgentFleet fleet = new AgentFleet(folder.toAbsolutePath(), plan.processes(), java, plan.seed())) {
+        try (AgentFleet fleet = new AgentFleet(folder.toAbsolutePath(), plan.processes(), AgentFleet.sameJava(), plan.seed())) {
             Harness harness = new Harness(fleet, plan.seed(), line -> {
                 out.println(line);
                 out.flush();
--- a/src/main/java/merlinlever/faults/AgentFleet.java
+++ b/src/main/java/merlinlever/faults/AgentFleet.java
@@ -90,6 +90,12 @@
         }
     }
 
+    /** How this process was started, for the agents: its own java and class path, small flags. */
+    public static List<String> sameJava() {
+        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main");
+    }
+
     private static int freeTcp() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, HERE)) {
             return socket.getLocalPort();
--- a/src/main/java/merlinlever/faults/Harness.java
+++ b/src/main/java/merlinlever/faults/Harness.java
@@ -130,14 +130,7 @@
     }
 
     private List<Integer> who(List<Integer> who) {
-        if (!who.isEmpty()) {
-            return who;
-        }
-        List<Integer> all = new ArrayList<>();
-        for (int i = 0; i < fleet.count(); i++) {
-            all.add(i);
-        }
-        return all;
+        return who.isEmpty() ? all(fleet.count()) : who;
     }
 
     private void apply(Script.Step step) throws IOException, InterruptedException {
--- a/src/test/java/merlinlever/faults/AgentFaultsTest.java
+++ b/src/test/java/merlinlever/faults/AgentFaultsTest.java
@@ -25,11 +25,6 @@
     private static final Duration START = Duration.ofSeconds(40);
     private static final Duration SETTLE = Duration.ofSeconds(30);
 
-    private static List<String> java() {
-        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main");
-    }
-
     private static Script.Step step(long ms, Script.Kind kind, List<Integer> who, List<List<Integer>> sides) {
         return new Script.Step(Duration.ofMillis(ms), kind, who, List.of(), false, sides, Duration.ZERO, Duration.ZERO, 0, 0);
     }
@@ -49,7 +44,7 @@
     void aCutOffAgentIsHeldDownByTheOthersWhileItLastsAndAliveAgainAfter() throws Exception {
         Path root = Files.createTempDirectory("merlinlever-faults");
         List<String> log = new ArrayList<>();
-        try (AgentFleet fleet = new AgentFleet(root, 3, java(), 0x24L)) {
+        try (AgentFleet fleet = new AgentFleet(root, 3, AgentFleet.sameJava(), 0x24L)) {
             Harness harness = new Harness(fleet, 0x24L, log::add);
             harness.startAll(START);
             assertEquals(List.of(), agreed(harness, SETTLE), "they know each other after the start");
@@ -73,7 +68,7 @@
     void aKilledAgentIsHeldDeadAndAfterAPowerLossOfAllTheyStartOnWhatTheDiskMayHaveKept() throws Exception {
         Path root = Files.createTempDirectory("merlinlever-faults");
         List<String> log = new ArrayList<>();
-        try (AgentFleet fleet = new AgentFleet(root, 3, java(), 0x26L)) {
+        try (AgentFleet fleet = new AgentFleet(root, 3, AgentFleet.sameJava(), 0x26L)) {
             Harness harness = new Harness(fleet, 0x26L, log::add);
             harness.startAll(START);
             assertEquals(List.of(), agreed(harness, SETTLE));
@@ -102,7 +97,7 @@
         List<Script.Step> drawn = Script.draw(3, 0x2026L, 4, Duration.ofSeconds(6), Duration.ofSeconds(2), new java.util.TreeMap<>(kinds));
         assertEquals(drawn, Script.draw(3, 0x2026L, 4, Duration.ofSeconds(6), Duration.ofSeconds(2), new java.util.TreeMap<>(kinds)));
         Path root = Files.createTempDirectory("merlinlever-faults");
-        try (AgentFleet fleet = new AgentFleet(root, 3, java(), 0x2026L)) {
+        try (AgentFleet fleet = new AgentFleet(root, 3, AgentFleet.sameJava(), 0x2026L)) {
             Harness harness = new Harness(fleet, 0x2026L, line -> { });
             harness.startAll(START);
             assertEquals(List.of(), agreed(harness, SETTLE));
