Hand tasks to the loop without locks: a held hand-over can no longer make it spin

Found: Loop waited with LinkedBlockingQueue.poll(time), a timed wait on a condition (Loop.java 44 and 111 before this change). AbstractQueuedSynchronizer's signal first takes the waiter's mark away and then puts it into the line of the lock. If the signalling thread is held between the two and the wait's time is up, the waiter turns on the clock without ever waiting. Probe with a debugger: the hand-over held there 6 times for 200 ms, the loop's thread used 199 to 203 ms of processor time and no timer ran.

Change: a ConcurrentLinkedQueue and park/unpark; nothing is locked, and the loop never waits for who hands over. NetTest, ServeTest, RunLineTest pass.

--- a/src/main/java/merlinlever/net/Loop.java
+++ b/src/main/java/merlinlever/net/Loop.java
@@ -8,9 +8,11 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.concurrent.AbstractExecutorService;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -41,7 +43,13 @@
 
     private final Clock clock;
     private final Consumer<Throwable> failures;
-    private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
+    /**
+     * Without locks or conditions: wherever a thread that hands something over is held, the loop goes on. A timed wait on
+     * a condition turns round without waiting while the one that signals is held between two steps of it.
+     */
+    private final Queue<Runnable> ready = new ConcurrentLinkedQueue<>();
+    /** The thread that runs it, once there is one. */
+    private volatile Thread runner;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             Comparator.<Timer>comparingLong(t -> t.at).thenComparingLong(t -> t.order));
     private final AsynchronousChannelGroup group;
@@ -98,6 +106,10 @@
 
     @Override public void execute(Runnable task) {
         ready.add(task);
+        Thread waiting = runner;
+        if (waiting != null && waiting != Thread.currentThread()) {
+            LockSupport.unpark(waiting);
+        }
     }
 
     void wantsWriting(Connection connection) {
@@ -106,13 +118,15 @@
 
     /** Runs on the calling thread until {@link #stop}. */
     public void run() {
-        while (!stopping) {
-            try {
-                batch(ready.poll(untilNextTimer(), TimeUnit.NANOSECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
+        runner = Thread.currentThread();
+        while (!stopping && !runner.isInterrupted()) {
+            Runnable first = ready.poll();
+            if (first == null) {
+                // What is added after this look wakes it, or lets it not sleep at all.
+                LockSupport.parkNanos(this, untilNextTimer());
+                first = ready.poll();
             }
+            batch(first);
         }
     }
 
