--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -61,7 +61,7 @@
     private static final double LATER = 1.02;
 
     /** Why an operation was pushed back. */
-    public enum Reason { LEAVING, HUNG, MEMORY, HOPELESS, CHANCE, LATE }
+    public enum Reason { LEAVING, HUNG, MEMORY, HOPELESS, CHANCE, LATE, UNSETTLED }
 
     /** What the module sees of its server; pushbacks and breaking off are counted from the start. */
     public record Figures(int held, int onCores, int atCalls, double capacity, double avg, double level,
@@ -267,6 +267,8 @@
     private double closeIdleMs, saidIdleMs;
     private Duration progress = Duration.ZERO, cutAt = Duration.ZERO;
     private Duration leaveAt, stopAt;
+    // Work that is not retriable is begun only if it came from the one on, and before the other.
+    private Duration keyedFrom = Duration.ZERO, keyedTo;
     private boolean hung;
     private Boolean saidHealthy;
     private double level, saidLevel;
@@ -586,6 +588,12 @@
         return quickestRead > DEAR * cores * ms(span) / capacity();
     }
 
+    /** Rule 2: whether a life before this one may have begun it, or the next would not know that this one did. */
+    private boolean unsettled(Op op, Duration now) {
+        return op.tariff.kind != Kind.RETRIABLE
+                && (!reached(op.arrival, keyedFrom) || keyedTo != null && reached(now, keyedTo));
+    }
+
     private boolean pastGrace(Op op) {
         return leaveAt != null && reached(op.arrival, leaveAt.plus(grace));
     }
@@ -609,6 +617,11 @@
             pushBack(op, now, why, false, leaving || hung ? longestStayAway : Duration.ZERO);
             return;
         }
+        if (unsettled(op, now)) {
+            Duration wait = later(Duration.ZERO, keyedFrom.minus(now));
+            pushBack(op, now, Reason.UNSETTLED, false, earlier(longestStayAway, wait));
+            return;
+        }
         // Work that cannot make its soft limit is waste.
         if (onCores >= cores && reached(ends.plus(millis(waiting * ms(span))), op.soft)) {
             pushBack(op, now, Reason.HOPELESS, op.again || dear(), longestStayAway);
@@ -656,6 +669,20 @@
                 ms(stop.minus(now)), held, onCores + atCalls + calling));
     }
 
+    /** After a return: binding and fingerprinted work is begun if it came from then on, and before the other moment. */
+    public void keyed(Duration from, Duration to) {
+        keyedFrom = from;
+        keyedTo = to;
+    }
+
+    /** What a life before or others learned of the capacity, to begin with: worth so many completions. */
+    public void guess(double capacity, double completions) {
+        if (done < 1 && capacity > 0) {
+            done = completions;
+            worked = completions * cores * ms(span) / capacity;
+        }
+    }
+
     /** The gauges, in the order that was stated at start. */
     public void look(Duration now, double[] gauges) {
         clock(now);
@@ -771,7 +798,8 @@
     private void start(Duration now) {
         double most = survivable();
         for (Op op : hand) {
-            if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE) {
+            if (op.phase != Phase.HELD || op.answered || op.ran && op.tariff.kind != Kind.RETRIABLE
+                    || keyedTo != null && op.tariff.kind != Kind.RETRIABLE && reached(now, keyedTo)) {
                 continue;
             }
             boolean marked = onCores >= 1 && runQueue + changeSince >= cores;
--- a/src/main/java/merlinlever/cli/Commands.java
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -104,6 +104,14 @@
             new merlinlever.measure.DnsMeasure(out, quick).run();
             return 0;
         }
+
+        @Command(name = "recovery", mixinStandardHelpOptions = true,
+                description = "Fleets of backends that lose their power and come back, with what they keep and without. Some minutes.")
+        int recovery(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
+                @CommandLine.Option(names = "--quick", description = "a small fleet, to see that it runs") boolean quick) throws Exception {
+            new merlinlever.measure.RecoveryMeasure(out, quick).run();
+            return 0;
+        }
     }
 
     @Override public void run() {
--- /dev/null
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -0,0 +1,131 @@
+package merlinlever.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import merlinlever.Control;
+import merlinlever.core.Backend;
+import merlinlever.core.Stated;
+import merlinlever.durable.Folders;
+import merlinlever.log.Log;
+import merlinlever.members.Link;
+import merlinlever.net.Loop;
+import merlinlever.recovery.Return;
+import merlinlever.recovery.net.Rejoin;
+
+/**
+ * The return of one backend, where its configuration has {@code recovery}: state on disk, membership with the others.
+ * The platform has neither, and there this class is never loaded.
+ */
+final class Recovering implements Rejoin.Service {
+
+    private static final List<String> NAMES = List.of("state", "listen", "advertise", "seeds", "secret-file", "mark-ms", "patience-ms",
+            "spread-ms");
+
+    private final Loop loop;
+    private final Backend backend;
+    private final Rejoin rejoin;
+
+    Recovering(Map<String, String> rest, Loop loop, Backend backend, Map<String, String> given, long seed, Log log)
+            throws Serve.Unusable, IOException {
+        this.loop = loop;
+        this.backend = backend;
+        for (String name : rest.keySet()) {
+            if (name.startsWith("recovery.") && !NAMES.contains(name.substring(9))) {
+                throw new Serve.Unusable("the configuration's " + name + " is not known; recovery has " + String.join(", ", NAMES));
+            }
+        }
+        List<String> seeds = new ArrayList<>();
+        for (String seedAt : rest.getOrDefault("recovery.seeds", "").split(",")) {
+            if (!seedAt.isEmpty() && Link.address(seedAt) == null) {
+                throw new Serve.Unusable("the configuration's recovery.seeds has '" + seedAt + "', which is no ADDRESS:PORT");
+            } else if (!seedAt.isEmpty()) {
+                seeds.add(seedAt);
+            }
+        }
+        String advertise = rest.get("recovery.advertise");
+        if (advertise != null && Link.address(advertise) == null) {
+            throw new Serve.Unusable("the configuration's recovery.advertise is no ADDRESS:PORT: " + advertise);
+        }
+        String name = rest.getOrDefault("name", "");
+        if (!name.matches("[!-~]{1,40}")) {
+            throw new Serve.Unusable("with recovery the configuration's name has 1 to 40 printable characters");
+        }
+        Return.Stated usual = Return.Stated.usual(window(given));
+        Return.Stated stated = new Return.Stated(span(rest, "patience-ms", usual.patience()), span(rest, "spread-ms", usual.spread()),
+                usual.askAgain(), usual.longestAskAgain(), usual.window(), usual.mostAsked());
+        Duration mark = span(rest, "mark-ms", Duration.ofSeconds(1));
+        Consumer<String> told = line -> log.info("recovery: " + line);
+        rejoin = new Rejoin(loop, Folders.open(Path.of(rest.get("recovery.state")), System.getenv()),
+                new Rejoin.Place(name, Serve.address(rest, "recovery.listen"), advertise, rest.getOrDefault("listen", "-"), seeds, secret(rest)),
+                stated, mark, seed, System::currentTimeMillis, this, told);
+    }
+
+    /** In which a repeat of keyed work may come, the longest of all tariffs. */
+    private static Duration window(Map<String, String> given) {
+        double longest = 0;
+        for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
+            if (!"retriable".equals(given.get("tariffs." + i + ".kind"))) {
+                longest = Math.max(longest, Stated.number(given, "tariffs." + i + ".window", 10_000));
+            }
+        }
+        return Duration.ofNanos((long) (longest * 1e6));
+    }
+
+    private static Duration span(Map<String, String> rest, String name, Duration usual) throws Serve.Unusable {
+        double ms = Serve.number(rest, "recovery." + name, usual.toMillis());
+        if (!(ms >= 10 && ms <= 600_000)) {
+            throw new Serve.Unusable("the configuration's recovery." + name + " is to be from 10 to 600000");
+        }
+        return Duration.ofMillis((long) ms);
+    }
+
+    private static String secret(Map<String, String> rest) throws Serve.Unusable {
+        String file = rest.get("recovery.secret-file");
+        try {
+            String secret = file == null ? "" : Files.readString(Path.of(file)).strip();
+            if (secret.length() < 16) {
+                throw new Serve.Unusable("the configuration's recovery.secret-file names no file with 16 characters or more");
+            }
+            return secret;
+        } catch (IOException e) {
+            throw new Serve.Unusable("the configuration's recovery.secret-file cannot be read: " + file);
+        }
+    }
+
+    /** A time since the process began, by the clock that the module's times count on. */
+    private Duration ofModule(Duration sinceBegin) {
+        return loop.clock().now().plus(sinceBegin.minus(loop.clock().uptime()));
+    }
+
+    @Override public void keyed(Duration from, Duration to) {
+        backend.keyed(ofModule(from), ofModule(to));
+    }
+
+    @Override public void guess(double capacity, double completions) {
+        backend.guess(capacity, completions);
+    }
+
+    @Override public double capacity() {
+        Control.Figures figures = backend.figures();
+        return figures == null || !Double.isFinite(figures.capacity()) ? 0 : figures.capacity();
+    }
+
+    @Override public boolean fullSpeed() {
+        Control.Figures figures = backend.figures();
+        return figures != null && figures.speedShare() >= 1;
+    }
+
+    String json() {
+        return rejoin.json();
+    }
+
+    void leave() {
+        rejoin.leave();
+    }
+}
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -68,6 +68,8 @@
     private final Reports reports;
     /** Null where nobody manages it, as on the platform. */
     private final Manage manage;
+    /** Null where it keeps nothing for a return, as on the platform; its class is not loaded then. */
+    private final Recovering recovering;
     private final Duration stopAfter;
     private final boolean listFollows;
     private final String rehearsed;
@@ -103,9 +105,11 @@
             backend = assembly.backend;
             edge = assembly.edge;
             reports = new Reports(parties.lookup(), rest.getOrDefault("name", ""));
+            recovering = rest.containsKey("recovery.state") ? new Recovering(rest, loop, backend, given, seed(rest.get("seed")), log) : null;
             edge.listen(listen, Math.max(16, sockets - OTHER_DESCRIPTORS - calls));
             manage = rest.containsKey("manage") ? new Manage(loop, address(rest, "manage"), () -> Telling.of(backend.leaving(),
-                    backend.healthy(), backend.inHand(), clock.uptime().toMillis(), backend.figures())) : null;
+                    backend.healthy(), backend.inHand(), clock.uptime().toMillis(), backend.figures(),
+                    recovering == null ? null : recovering.json())) : null;
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
         } catch (NumberFormatException e) {
@@ -142,7 +146,7 @@
         return hex != null && hex.matches("[0-9a-fA-F]{1,16}") ? Long.parseUnsignedLong(hex, 16) : 0;
     }
 
-    private static double number(Map<String, String> rest, String name, double absent) throws Unusable {
+    static double number(Map<String, String> rest, String name, double absent) throws Unusable {
         try {
             return Stated.number(rest, name, absent);
         } catch (NumberFormatException e) {
@@ -150,7 +154,7 @@
         }
     }
 
-    private static InetSocketAddress address(Map<String, String> rest, String name) throws Unusable {
+    static InetSocketAddress address(Map<String, String> rest, String name) throws Unusable {
         String text = rest.get(name);
         int colon = text == null ? -1 : text.lastIndexOf(':');
         if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
@@ -215,6 +219,9 @@
     private void leave() {
         Duration stop = stopAfter.minus(LAST_WRITES);
         Duration grace = Duration.ofMillis((long) Stated.number(given, "rules.drain-grace", 0));
+        if (recovering != null) {
+            recovering.leave();
+        }
         backend.leave(clock.now().minus(SIGNAL), clock.now().plus(stop));
         // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
--- a/src/main/java/merlinlever/cli/faults/FaultsCommands.java
+++ b/src/main/java/merlinlever/cli/faults/FaultsCommands.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import merlinlever.faults.AgentFleet;
 import merlinlever.faults.Harness;
+import merlinlever.faults.PowerLoss;
+import merlinlever.faults.ServeFleet;
 import merlinlever.faults.disk.CrashStates;
 import merlinlever.faults.disk.Lay;
 import merlinlever.faults.script.Script;
@@ -71,6 +73,46 @@
         }
     }
 
+    @Command(name = "power", mixinStandardHelpOptions = true,
+            description = "Start backends with callers and agents of their own, take their power away at drawn moments under load, and audit from outside "
+                    + "that nothing is done twice, no answer is lost and service comes back. Ends with 0 where all holds, 1 with the seed where not.")
+    int power(@Option(names = "--folder", required = true, paramLabel = "FOLDER", description = "for the backends' folders, logs and records") Path folder,
+            @Option(names = "--processes", paramLabel = "N", description = "backends, 2 to 60 (default: 5)", defaultValue = "5") int processes,
+            @Option(names = "--losses", paramLabel = "N", description = "power losses, one after the other; the kinds take turns (default: 10)", defaultValue = "10") int losses,
+            @Option(names = "--seed", paramLabel = "HEX", description = "of the first; each further one adds 1 (default: 1)", defaultValue = "1") String seed,
+            @Option(names = "--without", description = "the backends keep nothing for their return, as a comparison") boolean without)
+            throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
+        if (processes < 2 || processes > 60 || losses < 1 || losses > 100_000 || !seed.matches("[0-9a-fA-F]{1,16}")) {
+            err.println("merlinlever: --processes is from 2 to 60, --losses from 1 to 100000, --seed 1 to 16 hex digits");
+            return 2;
+        }
+        long first = Long.parseUnsignedLong(seed, 16);
+        int failed = 0;
+        try (ServeFleet fleet = new ServeFleet(folder.toAbsolutePath(), new ServeFleet.Stated(processes, !without, 12, Duration.ofSeconds(4)),
+                AgentFleet.sameJava(), first)) {
+            PowerLoss power = new PowerLoss(fleet, Duration.ofSeconds(60), line -> {
+                out.println(line);
+                out.flush();
+            });
+            power.begin();
+            PowerLoss.Kind[] kinds = PowerLoss.Kind.values();
+            for (int i = 0; i < losses; i++) {
+                PowerLoss.Outcome outcome = power.play(kinds[(int) Long.remainderUnsigned(first + i, kinds.length)], first + i);
+                failed += outcome.breaches().isEmpty() ? 0 : 1;
+            }
+            java.util.List<String> breaches = new java.util.ArrayList<>(power.end());
+            breaches.addAll(power.incarnations());
+            breaches.forEach(breach -> out.println("breach: " + breach));
+            long[] counts = fleet.rules().counts();
+            out.println((failed == 0 && breaches.isEmpty() ? "passed" : "FAILED") + ": " + losses + " losses, " + failed + " failed; tries "
+                    + counts[0] + " satisfied, " + counts[1] + " pushed back, " + counts[2] + " failed, " + counts[3] + " without an answer; "
+                    + counts[4] + " operations with an effect, " + fleet.rules().breached() + " breaches");
+            return failed == 0 && breaches.isEmpty() ? 0 : 1;
+        }
+    }
+
     @Command(name = "states", mixinStandardHelpOptions = true,
             description = "Tell the states that a power loss may leave of a folder, from the record of its seam (MERLINLEVER_DISK_RECORD); "
                     + "with --out, lay each in a folder of its own.")
--- a/src/main/java/merlinlever/cli/fleet/FleetCommands.java
+++ b/src/main/java/merlinlever/cli/fleet/FleetCommands.java
@@ -31,7 +31,8 @@
 @Command(name = "fleet", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
         description = "List, start, drain, stop and restart instances through their agents.",
         subcommands = {FleetCommands.ListAll.class, FleetCommands.Show.class, FleetCommands.Start.class, FleetCommands.Drain.class,
-            FleetCommands.Stop.class, FleetCommands.Restart.class, FleetCommands.RollAll.class, FleetCommands.Events.class, FleetCommands.Watch.class})
+            FleetCommands.Stop.class, FleetCommands.Restart.class, FleetCommands.RollAll.class, FleetCommands.Events.class, FleetCommands.Watch.class,
+            Recover.class})
 public final class FleetCommands implements Runnable {
 
     private static final ObjectMapper JSON = new ObjectMapper();
--- a/src/main/java/merlinlever/cli/fleet/Host.java
+++ b/src/main/java/merlinlever/cli/fleet/Host.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import merlinlever.durable.Folder;
 import merlinlever.durable.Folders;
 import merlinlever.host.disk.Ledger;
 import merlinlever.host.front.HostFront;
@@ -22,13 +22,10 @@
 import merlinlever.host.run.Hosted;
 import merlinlever.host.run.Neighbours;
 import merlinlever.host.state.Keeper;
-import merlinlever.members.Link;
-import merlinlever.members.Members;
-import merlinlever.members.Views;
-import merlinlever.members.Wire;
 import merlinlever.net.Clock;
-import merlinlever.net.Datagrams;
 import merlinlever.net.Loop;
+import merlinlever.recovery.Return;
+import merlinlever.recovery.net.Rejoin;
 import merlinlever.sheet.Sheet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,12 +35,14 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final Duration ANSWERED = Duration.ofMillis(20);
+    /** After a power loss all machines begin at once: what each launches is spread over so long. */
+    private static final Duration SPREAD = Duration.ofMillis(500);
 
     private final Loop loop;
     private final HostAgent agent;
     private final HostFront front;
     /** Null where there are no other agents. */
-    private final Link[] link;
+    private final Rejoin rejoin;
     private final boolean drain;
     private final Duration stop;
     private final CountDownLatch over = new CountDownLatch(1);
@@ -83,8 +82,8 @@
         try {
             Clock clock = Clock.system();
             loop = new Loop(clock, failure -> LOG.error("failed", failure));
-            Ledger ledger = new Ledger(Folders.open(state, System.getenv()));
-            agent = new HostAgent(loop, ledger, hosted, stated, new SplittableRandom(seed), LOG::info);
+            Folder folder = Folders.open(state, System.getenv());
+            Ledger ledger = new Ledger(folder);
             String name = sheet.text("name", "");
             Neighbours neighbours = null;
             if (sheet.has("members")) {
@@ -92,19 +91,17 @@
                 if (api.endsWith(":0")) {
                     throw sheet.fault("listen", "with members the port has to be stated, as others are told it");
                 }
-                Members.Stated members = Members.Stated.usual(sheet.texts("members.seeds"));
-                link = new Link[1];
-                Datagrams datagrams = new Datagrams(loop, address(sheet.text("members.listen", "")), Wire.MOST, (octets, from, waited) -> link[0].came(octets, from));
                 // Others send to the address it tells, which is its own unless something stands between (the fault harness).
-                String told = sheet.text("members.advertise", Link.text(datagrams.address()));
-                Members known = new Members(clock.now(), new Views(name, told, api, 0), members,
-                        new SplittableRandom(seed), LOG::info);
-                link[0] = new Link(loop, datagrams, known, new Wire(secret.getBytes(StandardCharsets.UTF_8)));
-                neighbours = new Neighbours(loop, known, secret);
+                Rejoin.Place place = new Rejoin.Place(name, address(sheet.text("members.listen", "")),
+                        sheet.has("members.advertise") ? sheet.text("members.advertise", "") : null, api, sheet.texts("members.seeds"), secret);
+                rejoin = new Rejoin(loop, folder, place, Return.Stated.usual(Duration.ZERO), Duration.ZERO, seed, System::currentTimeMillis,
+                        Rejoin.Service.NONE, line -> LOG.info("{}", line));
+                neighbours = new Neighbours(loop, rejoin.members(), secret);
             } else {
-                link = null;
+                rejoin = null;
             }
-            front = new HostFront(loop, address(sheet.text("listen", "")), name, agent, neighbours, secret, stop.dividedBy(5), seed, LOG::info);
+            agent = new HostAgent(loop, ledger, hosted, stated, sheet.span("spread", SPREAD), new SplittableRandom(seed), LOG::info);
+            front = new HostFront(loop, address(sheet.text("listen", "")), name, agent, neighbours, rejoin, secret, stop.dividedBy(5), seed, LOG::info);
         } catch (Ledger.Spoilt e) {
             throw new Sheet.Unusable(e.getMessage());
         } catch (IOException | IllegalArgumentException e) {
@@ -190,8 +187,8 @@
     private void leave() {
         LOG.info(drain ? "leaving with all instances" : "leaving; the instances stay");
         front.leave(stop);
-        if (link != null) {
-            link[0].leave();
+        if (rejoin != null) {
+            rejoin.leave();
         }
         if (drain) {
             agent.drainAll();
--- /dev/null
+++ b/src/main/java/merlinlever/cli/fleet/Recover.java
@@ -0,0 +1,82 @@
+package merlinlever.cli.fleet;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import merlinlever.durable.DiskFolder;
+import merlinlever.durable.Folder;
+import merlinlever.host.disk.Ledger;
+import merlinlever.recovery.Trust;
+import merlinlever.recovery.disk.Store;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** What the next life of each process would believe of its state folder; changes nothing in it. */
+@Command(name = "recover", mixinStandardHelpOptions = true,
+        description = "After a power loss, before anything is started: tell for each state folder what is found in it, what is thrown away and why.",
+        exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:everything found is believed", "1:something is thrown away or cannot be looked at",
+            "2:wrong usage"})
+final class Recover implements Callable<Integer> {
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--state", paramLabel = "DIR", required = true, arity = "1..*", description = "a state folder of an agent or a backend; may come several times")
+    private List<Path> folders = List.of();
+    @Option(names = "--owner", paramLabel = "NAME@ADDRESS:PORT", description = "whose they have to be; without it each is taken for that of its own owner")
+    private String owner;
+
+    @Override public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
+        if (owner != null && !owner.matches("[!-~]+@[!-~]+")) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--owner is NAME@ADDRESS:PORT, not " + owner);
+        }
+        boolean whole = true;
+        for (Path path : folders) {
+            if (!Files.isDirectory(path)) {
+                err.println(path + ": no such folder");
+                whole = false;
+                continue;
+            }
+            try (Folder folder = new DiskFolder(path)) {
+                out.println(path);
+                whole &= look(folder, out);
+            } catch (IOException e) {
+                err.println(path + ": " + e.getMessage() + (Files.exists(path.resolve("lock")) ? "; a running process told at its start what it found" : ""));
+                whole = false;
+            }
+        }
+        out.flush();
+        err.flush();
+        return whole ? 0 : 1;
+    }
+
+    private boolean look(Folder folder, PrintWriter out) throws IOException {
+        Store.Found found = new Store(folder).read();
+        String whose = owner != null || found.memory() == null ? owner : found.memory().owner();
+        Trust.Verdict verdict = Trust.judge(found.memory(), found.spoilt(), whose, System.currentTimeMillis());
+        boolean whole = true;
+        if (found.memory() != null) {
+            out.println("  owner: " + found.memory().owner());
+        }
+        for (Trust.Finding finding : verdict.findings()) {
+            out.println("  " + finding.told());
+            whole &= finding.belief() != Trust.Belief.THROWN_AWAY;
+        }
+        if (folder.has("instances")) {
+            try {
+                out.println("  instances: kept, " + new Ledger(folder).names().size() + " noted; a process that still runs is taken over, others that are wanted are launched");
+            } catch (Ledger.Spoilt e) {
+                out.println("  instances: " + e.getMessage());
+                whole = false;
+            }
+        }
+        return whole;
+    }
+}
--- a/src/main/java/merlinlever/cli/zone/ZoneServer.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneServer.java
@@ -100,7 +100,7 @@
             notices = new Notices(loop, Given.seed(sheet));
             if (sheet.has("manage")) {
                 new Manage(loop, Given.address(sheet, "manage"), () -> Telling.of(front.desk().figures().leaving(), true, front.desk().inHand(),
-                        clock.uptime().toMillis(), front.desk().figures()));
+                        clock.uptime().toMillis(), front.desk().figures(), null));
             }
         } catch (IOException e) {
             throw new Sheet.Unusable("cannot listen on " + sheet.text("listen", "") + ": " + e.getMessage());
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -41,6 +41,9 @@
     private Duration doubtfulFrom, linkBackAt;
     private boolean touched, healthy, leaving, exercising;
     private double level = Double.NaN;
+    /** What the module is told of the return of this process, once there is one; null where nothing is. */
+    private Duration keyedFrom, keyedTo;
+    private double guessed, completions;
     private int inHand;
     /** Runs that were sent onto the cores since the agent was last asked for its gauges. */
     private int ontoCores;
@@ -124,9 +127,31 @@
         this.now = now;
         given.put("server.cold", "" + cold);
         conductor = new Conductor<>(given, seed, this);
+        conductor.control().guess(guessed, completions);
+        if (keyedFrom != null) {
+            conductor.control().keyed(keyedFrom, keyedTo);
+        }
         touched = true;
     }
 
+    /** See {@link Control#keyed}; told again whenever it changes. */
+    public void keyed(Duration from, Duration to) {
+        keyedFrom = from;
+        keyedTo = to;
+        if (conductor != null) {
+            conductor.control().keyed(from, to);
+        }
+    }
+
+    /** See {@link Control#guess}. */
+    public void guess(double capacity, double of) {
+        guessed = capacity;
+        completions = of;
+        if (conductor != null) {
+            conductor.control().guess(capacity, of);
+        }
+    }
+
     public boolean started() {
         return conductor != null;
     }
--- a/src/main/java/merlinlever/faults/AgentFleet.java
+++ b/src/main/java/merlinlever/faults/AgentFleet.java
@@ -62,9 +62,9 @@
         looping.start();
         List<InetSocketAddress> real = new ArrayList<>(), fronts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            real.add(new InetSocketAddress(HERE, freeUdp()));
+            real.add(new InetSocketAddress(HERE, freePort()));
             fronts.add(new InetSocketAddress(HERE, 0));
-            apis.add(new InetSocketAddress(HERE, freeTcp()));
+            apis.add(new InetSocketAddress(HERE, freePort()));
         }
         hub = new UdpSwitch(loop, links, real, fronts, seed);
         Files.createDirectories(root);
@@ -92,23 +92,35 @@
 
     /** How this process was started, for the agents: its own java and class path, small flags. */
     public static List<String> sameJava() {
+        // Each runs in a folder of its own.
+        List<String> path = new ArrayList<>();
+        for (String entry : System.getProperty("java.class.path").split(java.io.File.pathSeparator)) {
+            path.add(Path.of(entry).toAbsolutePath().toString());
+        }
         return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", System.getProperty("java.class.path"), "merlinlever.cli.Main");
+                "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", String.join(java.io.File.pathSeparator, path), "merlinlever.cli.Main");
     }
 
-    private static int freeTcp() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, HERE)) {
-            return socket.getLocalPort();
-        }
-    }
+    /** Below those that the system gives to connections, so that none of these takes one before the process listens there. */
+    private static final int LOWEST = 12_000, PORTS = 18_000;
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 397 % PORTS);
 
-    private static int freeUdp() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, HERE)) {
-            return socket.getLocalPort();
+    /** A port that is free for both now, and that no other fleet of this process is given. */
+    static synchronized int freePort() throws IOException {
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = LOWEST + nextPort++ % PORTS;
+            try (ServerSocket tcp = new ServerSocket(port, 1, HERE); DatagramSocket udp = new DatagramSocket(port, HERE)) {
+                if (udp.isBound()) {
+                    return tcp.getLocalPort();
+                }
+            } catch (IOException e) {
+                // In use; the next one.
+            }
         }
+        throw new IOException("no port is free");
     }
 
-    private static String text(InetSocketAddress address) {
+    static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
@@ -178,11 +190,16 @@
     }
 
     private JsonNode ask(int i, String path, Duration patience) throws IOException {
+        return get(apis.get(i), path, "Authorization: Bearer " + SECRET + "\r\n", patience);
+    }
+
+    /** One question over HTTP to a process, and its answer. */
+    static JsonNode get(InetSocketAddress address, String path, String fields, Duration patience) throws IOException {
         try (Socket socket = new Socket()) {
-            socket.connect(apis.get(i), (int) patience.toMillis());
+            socket.connect(address, (int) patience.toMillis());
             socket.setSoTimeout((int) patience.toMillis());
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: agent\r\nAuthorization: Bearer " + SECRET
-                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: harness\r\n" + fields
+                    + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             byte[] chunk = new byte[8192];
@@ -197,13 +214,13 @@
                     int start = text.substring(0, head + 4).getBytes(StandardCharsets.UTF_8).length;
                     if (body.length - start >= length) {
                         if (!text.startsWith("HTTP/1.1 200")) {
-                            throw new IOException(name(i) + " answered " + text.substring(0, text.indexOf('\r')));
+                            throw new IOException(text(address) + " answered " + text.substring(0, text.indexOf('\r')));
                         }
                         return JSON.readTree(new String(body, start, length, StandardCharsets.UTF_8));
                     }
                 }
             }
-            throw new IOException(name(i) + " ended its answer early");
+            throw new IOException(text(address) + " ended its answer early");
         }
     }
 
--- a/src/main/java/merlinlever/faults/Harness.java
+++ b/src/main/java/merlinlever/faults/Harness.java
@@ -217,7 +217,7 @@
             if (Files.isDirectory(records)) {
                 try (Stream<Path> files = Files.list(records)) {
                     for (Path record : files.sorted().toList()) {
-                        lay(record);
+                        lay(record, chance, log);
                     }
                 }
             }
@@ -225,7 +225,8 @@
         fleet.processes().restart(fleet.name(i));
     }
 
-    private void lay(Path record) throws IOException {
+    /** Lays the folder that the record is of as a power loss may have left it, drawn. */
+    static void lay(Path record, SplittableRandom chance, Consumer<String> log) throws IOException {
         try {
             CrashStates states = CrashStates.of(Files.readString(record, StandardCharsets.US_ASCII));
             // Where all was forced, what a kill leaves is all that a power loss may leave.
--- /dev/null
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -0,0 +1,217 @@
+package merlinlever.faults;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import merlinlever.durable.Folders;
+import merlinlever.faults.audit.Rules;
+import merlinlever.faults.link.Links;
+import merlinlever.faults.link.UdpSwitch;
+import merlinlever.faults.party.Callers;
+import merlinlever.faults.party.RenderFarm;
+import merlinlever.faults.proc.Processes;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+
+/**
+ * Real backends of the program (`serve`), each with an agent of its own that runs its operations, callers of its own, a
+ * recorded state folder, and membership with the others through the harness's switch. The parties and the audit live in
+ * this process, outside the backends.
+ */
+public final class ServeFleet implements Closeable {
+
+    /**
+     * What is stated.
+     *
+     * @param recovery whether the backends keep anything for their return; without it they start as they do on the platform
+     */
+    public record Stated(int count, boolean recovery, double perSecond, Duration window) {
+    }
+
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+    private static final String SECRET = "fault-harness-secret-0002";
+    private static final Duration WORK = Duration.ofMillis(150), WAIT = Duration.ofSeconds(2);
+
+    private final Path root;
+    private final Stated stated;
+    private final Processes processes = new Processes();
+    private final List<Processes.Spec> specs = new ArrayList<>();
+    private final List<InetSocketAddress> manages = new ArrayList<>();
+    private final List<RenderFarm> farms = new ArrayList<>();
+    private final List<Callers> callers = new ArrayList<>();
+    private final Links links;
+    private final Loop loop;
+    private final UdpSwitch hub;
+    private final Rules rules = new Rules();
+
+    public ServeFleet(Path root, Stated stated, List<String> java, long seed) throws IOException, InterruptedException {
+        this.root = root;
+        this.stated = stated;
+        int count = stated.count();
+        links = new Links(count);
+        loop = new Loop(Clock.system(), failure -> failure.printStackTrace());
+        Thread looping = new Thread(loop::run, "fault-harness");
+        looping.setDaemon(true);
+        looping.start();
+        List<InetSocketAddress> real = new ArrayList<>();
+        List<InetSocketAddress> fronts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            real.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            fronts.add(new InetSocketAddress(HERE, 0));
+        }
+        hub = new UdpSwitch(loop, links, real, fronts, seed);
+        Files.createDirectories(root);
+        Path secret = root.resolve("secret");
+        Files.writeString(secret, SECRET);
+        SplittableRandom chance = new SplittableRandom(seed);
+        IOException[] failed = new IOException[1];
+        for (int i = 0; i < count; i++) {
+            InetSocketAddress listen = new InetSocketAddress(HERE, AgentFleet.freePort());
+            manages.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            String name = name(i);
+            SplittableRandom its = chance.split();
+            on(none -> {
+                try {
+                    farms.add(new RenderFarm(loop, name, new InetSocketAddress(HERE, 0), WORK, rules));
+                    callers.add(new Callers(loop, listen, new Callers.Stated(stated.perSecond(), 0.4, WAIT, stated.window()), rules, its));
+                } catch (IOException e) {
+                    failed[0] = e;
+                }
+            });
+            if (failed[0] != null) {
+                throw failed[0];
+            }
+            Path folder = root.resolve(name);
+            Files.createDirectories(folder);
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, configuration(i, listen, real.get(i), secret, its.nextLong()));
+            List<String> command = new ArrayList<>(java);
+            command.add("serve");
+            specs.add(new Processes.Spec(name, command, Map.of("GW_CONFIG", file.toString(), Folders.RECORD, records(i).toString()), folder));
+        }
+    }
+
+    private String configuration(int i, InetSocketAddress listen, InetSocketAddress real, Path secret, long seed) throws IOException {
+        List<String> seeds = new ArrayList<>();
+        for (int other = 0; other < stated.count() && seeds.size() < 8; other++) {
+            if (other != i) {
+                seeds.add("\"" + AgentFleet.text(hub.front(other)) + "\"");
+            }
+        }
+        String recovery = !stated.recovery() ? "" : ",\"recovery\":{\"state\":\"" + state(i) + "\",\"listen\":\"" + AgentFleet.text(real)
+                + "\",\"advertise\":\"" + AgentFleet.text(hub.front(i)) + "\",\"seeds\":[" + String.join(",", seeds)
+                + "],\"secret-file\":\"" + secret + "\",\"mark-ms\":200,\"patience-ms\":1500,\"spread-ms\":200}";
+        // Nobody reads the directory's reports here.
+        return "{\"name\":\"" + name(i) + "\",\"listen\":\"" + AgentFleet.text(listen) + "\",\"agent\":\"" + AgentFleet.text(farms.get(i).address())
+                + "\",\"lookup\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed) + "\",\"stop_ms\":3000,\"manage\":\""
+                + AgentFleet.text(manages.get(i)) + "\",\"limits\":{\"sockets\":200},\"settings\":{\"family-info\":{\"n-cores\":8,"
+                + "\"memory-kb\":200000,\"gauges\":[\"runnable\"],\"halt\":\"drop\",\"kb-per-key\":10},\"invariants\":{\"drain-grace\":100,"
+                + "\"overload-factor\":8,\"cold\":1000,\"cold-share\":0.5},\"bounds\":{\"retry-after\":true,\"max-retry-after\":1000},"
+                + "\"services\":[{\"name\":\"look\",\"semantics\":\"repeatable\",\"aim\":1000,\"hard-limit\":2000},"
+                + "{\"name\":\"buy\",\"semantics\":\"by_key\",\"aim\":1000,\"hard-limit\":2000,\"window\":" + stated.window().toMillis()
+                + "}]}" + recovery + "}";
+    }
+
+    public int count() {
+        return stated.count();
+    }
+
+    public Stated stated() {
+        return stated;
+    }
+
+    public String name(int i) {
+        return "b-" + i;
+    }
+
+    public Path state(int i) {
+        return root.resolve(name(i)).resolve("state");
+    }
+
+    public Path records(int i) {
+        return root.resolve("records").resolve(name(i));
+    }
+
+    public Processes processes() {
+        return processes;
+    }
+
+    public RenderFarm farm(int i) {
+        return farms.get(i);
+    }
+
+    public Callers callers(int i) {
+        return callers.get(i);
+    }
+
+    /** What the audit found; read on the loop's thread. */
+    public Rules rules() {
+        return rules;
+    }
+
+    public Duration now() {
+        return loop.clock().uptime();
+    }
+
+    /** Runs it on the thread of the parties and returns when that is done. */
+    public void on(Consumer<Links> run) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                run.accept(links);
+            } finally {
+                done.countDown();
+            }
+        });
+        done.await();
+    }
+
+    /** Starts it, the first time or again. */
+    public void start(int i) throws IOException, InterruptedException {
+        on(none -> {
+            callers.get(i).away(false);
+            farms.get(i).powerOn();
+        });
+        processes.start(specs.get(i));
+    }
+
+    public boolean runs(int i) {
+        return processes.starts(name(i)) > 0 && processes.seen(name(i)) == Processes.Seen.RUNNING;
+    }
+
+    /** The machine loses its power: the backend and all that its agent runs are gone at once. */
+    public void powerOff(int i) throws InterruptedException {
+        on(none -> {
+            callers.get(i).away(true);
+            farms.get(i).powerOff();
+        });
+        processes.kill(name(i));
+    }
+
+    /** What the backend tells of itself, or null where it does not answer. */
+    public JsonNode told(int i) {
+        try {
+            return AgentFleet.get(manages.get(i), "/state", "", Duration.ofMillis(1000));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    @Override public void close() {
+        processes.close();
+        loop.execute(() -> farms.forEach(RenderFarm::close));
+        hub.close();
+        loop.execute(loop::stop);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/faults/party/RenderFarm.java
@@ -0,0 +1,187 @@
+package merlinlever.faults.party;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import merlinlever.agent.Lines;
+import merlinlever.faults.audit.Rules;
+import merlinlever.json.Json;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Listener;
+import merlinlever.net.Loop;
+
+/**
+ * The agent of one machine as the protocol page has it: runs what it is told to, each for the same time, and has the
+ * effect of keyed work at some moment within. It outlives its backend; a power loss takes it too, with all runs that have
+ * had no effect yet.
+ */
+public final class RenderFarm {
+
+    private static final int LINE = 64 * 1024;
+
+    private static final class Run {
+        final String id;
+        Loop.Timer effect, end;
+
+        Run(String id) {
+            this.id = id;
+        }
+    }
+
+    private final Loop loop;
+    private final String name;
+    private final Rules rules;
+    private final Duration work;
+    private final Listener listener;
+    private final Map<String, Run> runs = new LinkedHashMap<>();
+    private final List<String> notices = new ArrayList<>();
+    private Link link;
+    private Duration began;
+    private boolean dark;
+
+    /** On the loop's thread, as all of it. */
+    public RenderFarm(Loop loop, String name, InetSocketAddress address, Duration work, Rules rules) throws IOException {
+        this.loop = loop;
+        this.name = name;
+        this.work = work;
+        this.rules = rules;
+        began = loop.clock().uptime();
+        listener = new Listener(loop, address, 64, channel -> {
+            Link made = new Link();
+            made.connection = Connection.accepted(loop, channel, made, LINE, 1 << 20);
+            made.connection.readOn();
+        }, () -> { });
+        listener.accept();
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    /** The machine loses its power: all runs end where they are, and nobody is told. */
+    public void powerOff() {
+        runs.values().forEach(RenderFarm::stop);
+        runs.clear();
+        notices.clear();
+        dark = true;
+        if (link != null) {
+            link.connection.end(Ended.DONE);
+        }
+    }
+
+    public void powerOn() {
+        dark = false;
+        began = loop.clock().uptime();
+    }
+
+    private static void stop(Run run) {
+        run.effect.callOff();
+        run.end.callOff();
+    }
+
+    public void close() {
+        powerOff();
+        listener.close();
+    }
+
+    private final class Link implements Connection.User {
+        private final Lines lines = new Lines(LINE);
+        private Connection connection;
+
+        @Override public void read(ByteBuffer in) {
+            lines.take(in, this::command);
+        }
+
+        private void say(String line) {
+            connection.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.UTF_8)));
+        }
+
+        private void command(String line) {
+            Map<?, ?> command;
+            try {
+                command = Json.object(line);
+            } catch (Json.Malformed e) {
+                connection.end(Ended.MALFORMED);
+                return;
+            }
+            String id = String.valueOf(command.get("req"));
+            switch (String.valueOf(command.get("cmd"))) {
+                case "subscribe" -> subscribed(((Number) command.get("offset")).intValue());
+                case "sample" -> say("{\"cmd\":\"sampled\",\"token\":\"" + command.get("token") + "\",\"load\":[" + runs.size() + "]}");
+                case "exercise" -> say("{\"cmd\":\"exercised\",\"token\":\"" + command.get("token") + "\",\"result\":\"OK\"}");
+                case "launch" -> launch(id, String.valueOf(command.get("payload")), "buy".equals(command.get("method")));
+                case "freeze" -> {
+                    Run run = runs.remove(id);
+                    if (run != null) {
+                        stop(run);
+                        notice("\"cmd\":\"outcome\"", id, "\"result\":\"STOPPED\",\"elapsed_ms\":1");
+                    }
+                }
+                default -> { }
+            }
+        }
+
+        private void subscribed(int offset) {
+            if (dark) {
+                connection.end(Ended.DONE);
+                return;
+            }
+            if (link != null && link != this) {
+                link.connection.end(Ended.DONE);
+            }
+            link = this;
+            if (offset == 0) {
+                // A new life of the backend; what the one before began runs on, and nobody hears of its end.
+                notices.clear();
+            }
+            double elapsed = loop.clock().uptime().minus(began).toNanos() / 1e6;
+            say("{\"cmd\":\"greeting\",\"result\":\"" + (elapsed < 30_000 ? "COLD" : "WARM") + "\",\"elapsed_ms\":" + elapsed + "}");
+            notices.subList(Math.min(offset, notices.size()), notices.size()).forEach(this::say);
+        }
+
+        @Override public void ended(Ended how) {
+            if (link == this) {
+                link = null;
+            }
+            listener.gone();
+        }
+    }
+
+    private void launch(String id, String payload, boolean keyed) {
+        if (runs.containsKey(id)) {
+            return;
+        }
+        String operation = new String(Base64.getDecoder().decode(payload), StandardCharsets.US_ASCII);
+        rules.launched(id);
+        Run run = new Run(id);
+        runs.put(id, run);
+        run.effect = loop.in(work.multipliedBy(2).dividedBy(5), () -> {
+            if (keyed) {
+                rules.effect(operation, id, name);
+            }
+        });
+        run.end = loop.in(work, () -> {
+            runs.remove(id);
+            String result = "done " + operation + " by " + id;
+            rules.made(operation, result);
+            notice("\"cmd\":\"outcome\"", id, "\"result\":\"OK\",\"elapsed_ms\":" + work.toMillis() + ",\"payload\":\""
+                    + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.US_ASCII)) + "\"");
+        });
+    }
+
+    private void notice(String word, String id, String rest) {
+        String line = "{" + word + ",\"offset\":" + (notices.size() + 1) + ",\"req\":\"" + id + "\"," + rest + "}";
+        notices.add(line);
+        if (link != null) {
+            link.say(line);
+        }
+    }
+}
--- a/src/main/java/merlinlever/host/disk/Ledger.java
+++ b/src/main/java/merlinlever/host/disk/Ledger.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32C;
 import merlinlever.durable.Folder;
@@ -94,6 +95,11 @@
         return String.format("%08x", crc.getValue());
     }
 
+    /** Of all instances that something is noted of. */
+    public List<String> names() {
+        return List.copyOf(noted.keySet());
+    }
+
     public Noted of(String instance) {
         return noted.getOrDefault(instance, Noted.NOTHING);
     }
--- a/src/main/java/merlinlever/host/front/HostFront.java
+++ b/src/main/java/merlinlever/host/front/HostFront.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -26,6 +27,7 @@
 import merlinlever.net.Ended;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
+import merlinlever.recovery.net.Rejoin;
 
 /**
  * What the {@code fleet} commands talk to: {@code GET /instances}, {@code GET /events?after=N}, {@code POST /orders},
@@ -46,6 +48,8 @@
     private final HostAgent agent;
     /** Null where there are no other agents to know of. */
     private final Neighbours neighbours;
+    /** Null likewise. */
+    private final Rejoin rejoin;
     private final byte[] secret;
     private final Desk desk;
     private final Listener listener;
@@ -53,9 +57,10 @@
     private Loop.Timer alarm;
 
     /** @param secret that each message has to carry */
-    public HostFront(Loop loop, InetSocketAddress address, String host, HostAgent agent, Neighbours neighbours, String secret, Duration grace,
-            long seed, Consumer<String> log) throws IOException {
+    public HostFront(Loop loop, InetSocketAddress address, String host, HostAgent agent, Neighbours neighbours, Rejoin rejoin, String secret,
+            Duration grace, long seed, Consumer<String> log) throws IOException {
         this.neighbours = neighbours;
+        this.rejoin = rejoin;
         this.loop = loop;
         this.host = host;
         this.agent = agent;
@@ -119,6 +124,9 @@
         for (int i = 0; i < agent.hosted().size(); i++) {
             list.add(instance(i));
         }
+        if (rejoin != null) {
+            all.putRawValue("recovery", new RawValue(rejoin.json()));
+        }
         return all;
     }
 
--- a/src/main/java/merlinlever/host/run/HostAgent.java
+++ b/src/main/java/merlinlever/host/run/HostAgent.java
@@ -43,18 +43,22 @@
     private final Keeper.State[] last;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final SplittableRandom chance;
+    private final Duration spread;
     private final Consumer<String> log;
     private Duration lastLook;
     private Duration distrustUntil = Duration.ZERO;
     private long numbered;
     private boolean noteFailed;
 
-    public HostAgent(Loop loop, Ledger ledger, List<Hosted> hosted, Keeper.Stated stated, SplittableRandom chance, Consumer<String> log) {
+    /** @param spread those that it launches at its start are launched over so long, so that they do not all begin at once */
+    public HostAgent(Loop loop, Ledger ledger, List<Hosted> hosted, Keeper.Stated stated, Duration spread, SplittableRandom chance,
+            Consumer<String> log) {
         this.loop = loop;
         this.ledger = ledger;
         this.hosted = List.copyOf(hosted);
         this.chance = chance;
         this.log = log;
+        this.spread = spread;
         hosted.forEach(each -> keepers.add(new Keeper(stated, each.manage() != null)));
         orders = new Orders(keepers);
         peers = new Peers(hosted.size());
@@ -90,7 +94,7 @@
                 }
                 note(i, new Ledger.Noted(noted.wanted(), noted.token(), found.pid(), found.startTicks()));
             } else if (noted.equals(Ledger.Noted.NOTHING) ? hosted.get(i).atStart() : noted.wanted()) {
-                keepers.get(i).start(now());
+                keepers.get(i).startAfter(now(), Duration.ofNanos(chance.nextLong(spread.toNanos() + 1)));
             }
         }
     }
--- a/src/main/java/merlinlever/host/state/Keeper.java
+++ b/src/main/java/merlinlever/host/state/Keeper.java
@@ -85,6 +85,12 @@
         again = leaving || killing;
     }
 
+    /** It is wanted, and is launched so much later. */
+    public void startAfter(Duration now, Duration wait) {
+        start(now);
+        launchAt = now.plus(wait);
+    }
+
     /** It is to leave: answer what it has read, then end. */
     public void leave(Duration now) {
         wanted = false;
--- a/src/main/java/merlinlever/manage/Telling.java
+++ b/src/main/java/merlinlever/manage/Telling.java
@@ -16,8 +16,9 @@
      * @param inHand operations that are read and not yet answered
      * @param ageMs since its start
      * @param figures null where the module is not there yet
+     * @param recovery a JSON object that says how far it has come back, or null where nothing is kept for a return
      */
-    public static String of(boolean leaving, boolean healthy, int inHand, long ageMs, Control.Figures figures) {
+    public static String of(boolean leaving, boolean healthy, int inHand, long ageMs, Control.Figures figures, String recovery) {
         StringBuilder text = new StringBuilder(512).append("{\"phase\":\"")
                 .append(leaving ? "leaving" : figures == null ? "starting" : figures.speedShare() < 1 ? "cold" : "warm")
                 .append("\",\"healthy\":").append(healthy).append(",\"in_hand\":").append(inHand).append(",\"age_ms\":").append(ageMs);
@@ -32,6 +33,9 @@
             }
             text.append('}');
         }
+        if (recovery != null) {
+            text.append(",\"recovery\":").append(recovery);
+        }
         return text.append('}').toString();
     }
 }
--- a/src/main/java/merlinlever/members/Link.java
+++ b/src/main/java/merlinlever/members/Link.java
@@ -5,6 +5,8 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.time.Duration;
+import java.util.List;
+import java.util.function.LongPredicate;
 import merlinlever.net.Datagrams;
 import merlinlever.net.Loop;
 
@@ -17,9 +19,12 @@
     private final Members members;
     private final Wire wire;
     private final Datagrams datagrams;
+    private final LongPredicate mayTell;
     private long strange;
 
-    public Link(Loop loop, Datagrams datagrams, Members members, Wire wire) {
+    /** @param mayTell whether this incarnation of its own may be told to others: not before it is on disk, where one is kept */
+    public Link(Loop loop, Datagrams datagrams, Members members, Wire wire, LongPredicate mayTell) {
+        this.mayTell = mayTell;
         this.loop = loop;
         this.datagrams = datagrams;
         this.members = members;
@@ -34,7 +39,8 @@
             strange++;
             return;
         }
-        members.heard(loop.clock().now(), text(from), message);
+        // Since the process began: the other time may be set once more.
+        members.heard(loop.clock().uptime(), text(from), message);
         settle();
     }
 
@@ -44,7 +50,12 @@
     }
 
     private void settle() {
-        for (Members.Sending sending : members.settle(loop.clock().now())) {
+        List<Members.Sending> sendings = members.settle(loop.clock().uptime());
+        if (!mayTell.test(members.views().of(members.views().self()).incarnation())) {
+            // Lost, as any datagram may be.
+            return;
+        }
+        for (Members.Sending sending : sendings) {
             InetSocketAddress to = address(sending.to());
             if (to != null) {
                 datagrams.send(wire.write(sending.message()), to);
@@ -53,7 +64,7 @@
     }
 
     public void leave() {
-        members.leave(loop.clock().now());
+        members.leave(loop.clock().uptime());
         settle();
     }
 
--- a/src/main/java/merlinlever/members/Members.java
+++ b/src/main/java/merlinlever/members/Members.java
@@ -17,17 +17,26 @@
 public final class Members {
 
     /** The kinds of messages; only asking ones are answered. */
-    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK }
+    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK, RECALL, RECALLED }
 
     /**
      * One message.
      *
      * @param number of the question; an answer bears that of its question
-     * @param about the gossip address that {@code ASK_FOR} is about, else empty
+     * @param about the gossip address that {@code ASK_FOR} is about, what {@code RECALLED} tells, else empty
      */
     public record Message(Kind kind, String from, long number, String about, List<Views.Rumour> rumours) {
     }
 
+    /** What one that comes back asks the others, and what they tell it beside all that they believe. */
+    public interface Recall {
+        /** What this one tells: printable, without spaces, 64 octets at the most. */
+        String tells();
+
+        /** The other has told that, to the question of that number. */
+        void told(String name, long number, String what);
+    }
+
     /** A message and where it goes. */
     public record Sending(String to, Message message) {
     }
@@ -96,6 +105,7 @@
     private final ArrayDeque<String> round = new ArrayDeque<>();
     private List<Sending> out = new ArrayList<>();
     private Duration nextPeriod;
+    private Recall recall;
     private long numbers;
     private long periods;
     private int health;
@@ -114,6 +124,16 @@
         return views;
     }
 
+    /** From here on questions of those that come back are answered, and answers to this one's own are heard. */
+    public void recall(Recall with) {
+        recall = with;
+    }
+
+    /** Asks another what it knows. */
+    public void ask(String name, long number) {
+        send(views.of(name).gossip(), Kind.RECALL, number, "");
+    }
+
     /** 0 where this one is well; more where its own lateness made it slow to hear (Lifeguard section IV-A). */
     public int health() {
         return health;
@@ -169,7 +189,7 @@
     }
 
     private void send(String to, Kind kind, long number, String about) {
-        List<Views.Rumour> with = kind == Kind.SYNC || kind == Kind.SYNC_BACK ? views.all() : rumours();
+        List<Views.Rumour> with = kind == Kind.SYNC || kind == Kind.SYNC_BACK || kind == Kind.RECALLED ? views.all() : rumours();
         out.add(new Sending(to, new Message(kind, views.self(), number, about, with)));
     }
 
@@ -215,6 +235,16 @@
                 }
             }
             case SYNC -> send(fromAddress, Kind.SYNC_BACK, message.number, "");
+            case RECALL -> {
+                if (recall != null) {
+                    send(fromAddress, Kind.RECALLED, message.number, recall.tells());
+                }
+            }
+            case RECALLED -> {
+                if (recall != null) {
+                    recall.told(message.from, message.number, message.about);
+                }
+            }
             default -> { }
         }
     }
--- a/src/main/java/merlinlever/members/Views.java
+++ b/src/main/java/merlinlever/members/Views.java
@@ -26,6 +26,7 @@
     private final String self;
     private final Map<String, Rumour> all = new TreeMap<>();
     private boolean left;
+    private long rivals;
 
     public Views(String self, String gossip, String api, long incarnation) {
         this.self = self;
@@ -36,6 +37,7 @@
         self = other.self;
         all.putAll(other.all);
         left = other.left;
+        rivals = other.rivals;
     }
 
     /** The same beliefs, going on for themselves. */
@@ -69,9 +71,12 @@
     public Rumour heard(Rumour rumour) {
         if (rumour.name.equals(self)) {
             Rumour mine = all.get(self);
-            if (left || !overrides(rumour, mine)) {
+            // Two lives that happen to be told under the same incarnation must not pass for one.
+            boolean elsewhere = rumour.status == Status.ALIVE && !rumour.gossip.equals(mine.gossip) && rumour.incarnation >= mine.incarnation;
+            if (left || !elsewhere && !overrides(rumour, mine)) {
                 return null;
             }
+            rivals += elsewhere ? 1 : 0;
             // It is said of this one what is not so, or was so of its life before: a higher incarnation says better.
             Rumour better = new Rumour(self, mine.gossip, mine.api, Status.ALIVE, rumour.incarnation + 1);
             all.put(self, better);
@@ -85,6 +90,14 @@
         return rumour;
     }
 
+    /**
+     * How often it was heard that this one lives elsewhere, as far on or further. Once may be its life before; more
+     * often there is another that answers what this one says.
+     */
+    public long rivals() {
+        return rivals;
+    }
+
     /** This one found no life in the other: it is suspected, unless more is known already. */
     public Rumour suspect(String name) {
         return against(name, Status.SUSPECT);
--- /dev/null
+++ b/src/main/java/merlinlever/recovery/disk/Store.java
@@ -0,0 +1,94 @@
+package merlinlever.recovery.disk;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.zip.CRC32C;
+import merlinlever.durable.Folder;
+import merlinlever.recovery.Memory;
+
+/**
+ * One file in a state folder, replaced whole ({@link Folder#replace}): the CRC-32C of the rest, then a line for each
+ * piece. What cannot be read is told and thrown away, never a reason not to start: all that it said can be done without.
+ */
+public final class Store {
+
+    /** What was found: a memory, or why there is none; both null where the folder holds nothing. */
+    public record Found(Memory memory, String spoilt) {
+    }
+
+    public static final String FILE = "recovery";
+    private static final String FORM = "merlinlever recovery 1";
+    private static final int MOST = 16 * 1024;
+
+    private final Folder folder;
+
+    public Store(Folder folder) {
+        this.folder = folder;
+    }
+
+    public Found read() {
+        try {
+            return folder.has(FILE) ? parsed(folder.read(FILE)) : new Found(null, null);
+        } catch (IOException e) {
+            return new Found(null, "cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** Returns when it is on the disk; after a failure the one before stands. */
+    public void write(Memory memory) throws IOException {
+        folder.replace(FILE, text(memory));
+    }
+
+    /** The octets of the file. */
+    public static byte[] text(Memory memory) {
+        StringBuilder rest = new StringBuilder(FORM).append("\nowner ").append(memory.owner()).append("\nincarnations ")
+                .append(memory.incarnations()).append("\nterm ").append(memory.term()).append("\nkeyed-until ").append(memory.keyedUntil()).append("\nwrote-at ")
+                .append(memory.wroteAt()).append("\ncapacity ").append(String.format(Locale.ROOT, "%.3f", memory.capacity())).append('\n');
+        memory.peers().forEach(peer -> rest.append("peer ").append(peer).append('\n'));
+        return (sum(rest.toString()) + "\n" + rest).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static String sum(String rest) {
+        CRC32C crc = new CRC32C();
+        crc.update(rest.getBytes(StandardCharsets.US_ASCII));
+        return String.format("%08x", crc.getValue());
+    }
+
+    /** Of the octets of a file. */
+    public static Found parsed(byte[] octets) {
+        if (octets.length > MOST) {
+            return new Found(null, "spoilt: over " + MOST + " octets");
+        }
+        String text = new String(octets, StandardCharsets.US_ASCII);
+        int end = text.indexOf('\n');
+        String rest = text.substring(end + 1);
+        if (end < 0 || !text.substring(0, end).equals(sum(rest))) {
+            return new Found(null, "spoilt: its sum is not that of what it holds");
+        }
+        String[] lines = rest.split("\n");
+        try {
+            if (!lines[0].equals(FORM)) {
+                return new Found(null, "of another form, '" + lines[0] + "'");
+            }
+            List<String> peers = new ArrayList<>();
+            for (int i = 7; i < lines.length; i++) {
+                peers.add(value(lines[i], "peer"));
+            }
+            return new Found(new Memory(value(lines[1], "owner"), Long.parseLong(value(lines[2], "incarnations")),
+                    Long.parseLong(value(lines[3], "term")), Long.parseLong(value(lines[4], "keyed-until")),
+                    Long.parseLong(value(lines[5], "wrote-at")), Double.parseDouble(value(lines[6], "capacity")), peers), null);
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            return new Found(null, "not what this program writes");
+        }
+    }
+
+    private static String value(String line, String name) {
+        if (!line.startsWith(name + " ")) {
+            throw new IllegalArgumentException(name);
+        }
+        return line.substring(name.length() + 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/recovery/net/Rejoin.java
@@ -0,0 +1,275 @@
+package merlinlever.recovery.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import merlinlever.durable.Folder;
+import merlinlever.members.Link;
+import merlinlever.members.Members;
+import merlinlever.members.Views;
+import merlinlever.members.Wire;
+import merlinlever.net.Datagrams;
+import merlinlever.net.Loop;
+import merlinlever.recovery.Memory;
+import merlinlever.recovery.Return;
+import merlinlever.recovery.Trust;
+import merlinlever.recovery.disk.Store;
+import merlinlever.recovery.disk.Writer;
+
+/**
+ * One process that comes back: reads what its life before left, joins the others, asks them, and tells the service what
+ * it may take. While it runs it notes ahead what it may do, so that the next life knows the most that it can have done.
+ */
+public final class Rejoin implements Members.Recall {
+
+    /** What comes back to work; times are since the process began. */
+    public interface Service {
+        /** Keyed work that came before the one moment is not begun, nor any at or after the other. */
+        void keyed(Duration from, Duration to);
+
+        /** A starting guess of what the hold can take, worth so many completions. */
+        void guess(double capacity, double completions);
+
+        /** Learned in this life, 0 for nothing yet. */
+        double capacity();
+
+        /** Whether it has its full speed. */
+        boolean fullSpeed();
+
+        /** One without operations. */
+        Service NONE = new Service() {
+            @Override public void keyed(Duration from, Duration to) {
+            }
+
+            @Override public void guess(double capacity, double completions) {
+            }
+
+            @Override public double capacity() {
+                return 0;
+            }
+
+            @Override public boolean fullSpeed() {
+                return true;
+            }
+        };
+    }
+
+    /**
+     * Where it is.
+     *
+     * @param advertise what others are told, or null for the address that it listens at
+     * @param api told to others as where it takes commands
+     * @param seeds where some of the others listen
+     */
+    public record Place(String name, InetSocketAddress listen, String advertise, String api, List<String> seeds, String secret) {
+    }
+
+    private static final Duration LOOK = Duration.ofMillis(50);
+    /** Incarnations noted ahead, so that refuting a rumour seldom waits for the disk. */
+    private static final long AHEAD = 64;
+    /** Marks reach so many spans between two of them ahead. */
+    private static final int REACH = 3;
+    /** The Unix clock may differ from the steady one by so much before it counts as set. */
+    private static final long SET_MS = 50;
+
+    private final Loop loop;
+    private final LongSupplier unix;
+    private final Service service;
+    private final Consumer<String> log;
+    private final Duration mark;
+    private final String owner;
+    private final Members members;
+    private final Link[] link = new Link[1];
+    private final Return order;
+    private final Writer writer;
+    private long rivals;
+    private long onDisk;
+    /** The highest term that may be promised: wanted, and on the disk. */
+    private long term, termOnDisk;
+    private Duration keyedTo = Duration.ZERO, nextMark = Duration.ZERO, since = Duration.ZERO;
+    private long leadAtMark;
+    private boolean guessed, writeFailed;
+
+    /**
+     * Nothing is told to others before this life's incarnation is on the disk.
+     *
+     * @param mark between two notes of how far ahead keyed work may be begun; zero where there is none
+     * @param unix the Unix clock, in milliseconds
+     */
+    public Rejoin(Loop loop, Folder folder, Place place, Return.Stated stated, Duration mark, long seed, LongSupplier unix, Service service,
+            Consumer<String> log) throws IOException {
+        this.loop = loop;
+        this.unix = unix;
+        this.service = service;
+        this.log = log;
+        this.mark = mark;
+        Datagrams datagrams = new Datagrams(loop, place.listen(), Wire.MOST, (octets, from, waited) -> link[0].came(octets, from));
+        String told = place.advertise() != null ? place.advertise() : Link.text(datagrams.address());
+        // A port that is drawn anew at each start tells nothing of whose the folder is.
+        owner = place.name() + "@" + (place.advertise() != null || place.listen().getPort() != 0 ? told
+                : place.listen().getAddress().getHostAddress());
+        Store store = new Store(folder);
+        Store.Found found = store.read();
+        long now = unix.getAsLong();
+        Trust.Verdict verdict = Trust.judge(found.memory(), found.spoilt(), owner, now);
+        verdict.findings().forEach(finding -> log.accept("found " + finding.told()));
+        Set<String> ask = new LinkedHashSet<>(place.seeds());
+        ask.addAll(verdict.peers());
+        ask.remove(told);
+        SplittableRandom chance = new SplittableRandom(seed);
+        members = new Members(loop.clock().uptime(), new Views(place.name(), told, place.api(), verdict.incarnation()),
+                Members.Stated.usual(List.copyOf(ask)), chance.split(), log);
+        members.recall(this);
+        term = verdict.term();
+        order = new Return(loop.clock().uptime(), now, verdict, stated, !ask.isEmpty(), chance.split());
+        link[0] = new Link(loop, datagrams, members, new Wire(place.secret().getBytes(StandardCharsets.UTF_8)), this::mayTell);
+        writer = new Writer(store, loop);
+        loop.every(LOOK, this::look);
+    }
+
+    public Members members() {
+        return members;
+    }
+
+    public Return order() {
+        return order;
+    }
+
+    /** This one goes in good order; the others are told. */
+    public void leave() {
+        link[0].leave();
+    }
+
+    private Duration now() {
+        return loop.clock().uptime();
+    }
+
+    private long incarnation() {
+        return members.views().of(members.views().self()).incarnation();
+    }
+
+    private boolean mayTell(long incarnation) {
+        return incarnation <= onDisk;
+    }
+
+    // ---- what others ask and tell
+
+    @Override public String tells() {
+        return String.format(Locale.ROOT, "%d/%s/%.2f", unix.getAsLong(), order.stage().word(), Math.min(1e9, service.capacity()));
+    }
+
+    @Override public void told(String name, long number, String what) {
+        String[] parts = what.split("/");
+        try {
+            order.told(now(), unix.getAsLong(), name, number, new Return.Told(Long.parseLong(parts[0]),
+                    Return.Stage.valueOf(parts[1].toUpperCase(Locale.ROOT)), Double.parseDouble(parts[2])));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            log.accept(name + " told what is not understood: " + what);
+        }
+    }
+
+    // ---- a look at all
+
+    private void look() {
+        Duration now = now();
+        for (Views.Rumour each : members.views().all()) {
+            if (!each.name().equals(members.views().self())) {
+                order.peer(now, each.name(), each.status() == Views.Status.ALIVE);
+            }
+        }
+        if (members.views().rivals() != rivals) {
+            rivals = members.views().rivals();
+            if (rivals > 1) {
+                order.rival(now);
+            }
+        }
+        order.settle(now).forEach(ask -> members.ask(ask.name(), ask.number()));
+        if (service.fullSpeed()) {
+            order.fullSpeed(now);
+        }
+        for (Return.Step step : order.steps()) {
+            since = step.at();
+            log.accept(step.stage().word() + ": " + step.why());
+        }
+        if (!guessed && order.weight() > 0) {
+            guessed = true;
+            service.guess(order.capacity(), order.weight());
+        }
+        if (Math.abs(lead() - leadAtMark) > SET_MS && !keyedTo.isZero()) {
+            log.accept("the clock was set by " + (lead() - leadAtMark) + " ms; keyed work waits for the next mark");
+            keyedTo = Duration.ZERO;
+            nextMark = now;
+        }
+        service.keyed(order.keyedFrom(now), keyedTo);
+        if (!writer.busy() && (incarnation() > onDisk || term > termOnDisk || !mark.isZero() && now.compareTo(nextMark) >= 0)) {
+            write(now);
+        }
+    }
+
+    /** What the Unix clock is ahead of the time since the start. */
+    private long lead() {
+        return unix.getAsLong() - now().toMillis();
+    }
+
+    private void write(Duration now) {
+        nextMark = now.plus(mark);
+        Duration to = now.plus(mark.multipliedBy(REACH));
+        long wroteAt = unix.getAsLong();
+        long lead = wroteAt - now.toMillis();
+        long incarnations = Math.max(onDisk, incarnation() + AHEAD);
+        List<String> peers = new ArrayList<>();
+        for (Views.Rumour each : members.views().all()) {
+            if (!each.name().equals(members.views().self()) && each.status() != Views.Status.LEFT) {
+                peers.add(each.gossip());
+            }
+        }
+        long terms = term;
+        Memory memory = new Memory(owner, incarnations, terms, wroteAt + to.minus(now).toMillis(), wroteAt, service.capacity(), peers);
+        writer.write(memory, failed -> {
+            if (failed == null) {
+                onDisk = incarnations;
+                termOnDisk = terms;
+                keyedTo = to;
+                leadAtMark = lead;
+            }
+            if (failed != null != writeFailed) {
+                writeFailed = failed != null;
+                log.accept(writeFailed ? "what the next life has to know cannot be written: " + failed.getMessage()
+                        + "; keyed work is turned away until it can" : "it can be written again");
+            }
+        });
+    }
+
+    /** The term is wanted on the disk; true once it is there. Nothing is promised under it before. */
+    public boolean noted(long wanted) {
+        term = Math.max(term, wanted);
+        if (term > termOnDisk && !writer.busy()) {
+            write(now());
+        }
+        return wanted <= termOnDisk;
+    }
+
+    /** The highest term that was noted, in this life or before. */
+    public long term() {
+        return term;
+    }
+
+    /** How far it has come, as a JSON object. */
+    public String json() {
+        Duration now = now();
+        int[] counts = order.counts();
+        long wait = Math.max(0, order.keyedFrom(now).minus(now).toMillis());
+        return "{\"stage\":\"" + order.stage().word() + "\",\"since_ms\":" + now.minus(since).toMillis() + ",\"incarnation\":" + incarnation()
+                + ",\"others\":" + counts[0] + ",\"told\":" + counts[1] + ",\"keyed_in_ms\":" + wait + ",\"mark_ms\":"
+                + Math.max(0, keyedTo.minus(now).toMillis()) + ",\"disk\":" + !writeFailed + "}";
+    }
+}
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -282,4 +282,52 @@
         }
         return out;
     }
+
+    @Example
+    void afterAReturnKeyedWorkIsPushedBackAtOnceUntilItIsSettledAndRetriableWorkIsNot() {
+        server.control().keyed(Duration.ofMillis(700), Duration.ofHours(1));
+        Operation charge = server.take(Server.CHARGE);
+        Operation order = server.take(Server.ORDER);
+        Operation lookup = server.take(Server.LOOKUP);
+        Settled settled = server.settle();
+        assertTrue(server.pushedBack(charge) && server.pushedBack(order));
+        assertEquals(List.of(lookup), settled.started);
+        assertEquals(Duration.ofMillis(700), settled.pushedBack.get(0).stayAway(), "and is told when to come back");
+        assertEquals(2, server.control().figures().pushedBack().get(Control.Reason.UNSETTLED.ordinal()));
+        server.after(700);
+        // It came before that moment, though it is read only now: a try of the life before may be as old as it.
+        Operation late = server.take(Server.CHARGE, 50, 10, null);
+        assertFalse(server.settle().started.contains(late));
+        assertTrue(server.pushedBack(late));
+        Operation fresh = server.take(Server.CHARGE);
+        assertEquals(List.of(fresh), server.settle().started);
+    }
+
+    @Example
+    void keyedWorkIsNotBegunBeyondWhatTheNextLifeWouldKnowOf() {
+        List<Operation> running = server.full();
+        Operation charge = server.take(Server.CHARGE);
+        assertTrue(server.settle().started.isEmpty());
+        server.control().keyed(Duration.ZERO, server.now.plusMillis(100));
+        server.after(100);
+        running.forEach(each -> each.ended(server.now, Ending.OK));
+        server.control().look(server.now, new double[] {0, 0});
+        Operation lookup = server.take(Server.LOOKUP);
+        Operation next = server.take(Server.CHARGE);
+        assertEquals(List.of(lookup), server.settle().started, "the mark has run out: neither the held one nor a new one");
+        assertTrue(server.pushedBack(next));
+        server.control().keyed(Duration.ZERO, server.now.plusMillis(500));
+        assertEquals(List.of(charge), server.after(10).started, "the next mark is on the disk");
+    }
+
+    @Example
+    void aGuessOfTheCapacityIsWhereItBeginsAndIsOutweighedByWhatItLearns() {
+        server.control().guess(40, 8);
+        assertEquals(40, server.control().figures().capacity(), 1e-9);
+        server.warmedUp(40, 100);
+        double learned = server.control().figures().capacity();
+        assertTrue(learned > 60, "8 cores at 100 ms for a span of 1 s: " + learned);
+        server.control().guess(5, 8);
+        assertEquals(learned, server.control().figures().capacity(), 1e-9, "what is learned is not guessed over");
+    }
 }
--- a/src/test/java/merlinlever/faults/AgentFaultsTest.java
+++ b/src/test/java/merlinlever/faults/AgentFaultsTest.java
@@ -4,15 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import merlinlever.faults.script.Script;
 import net.jqwik.api.Example;
 
@@ -60,7 +57,7 @@
             Harness.Verdict after = harness.play(new Script.Plan(3, 0x24L, Duration.ZERO, SETTLE, List.of()));
             assertTrue(after.passed(), after.told());
         } finally {
-            remove(root);
+            TestFolders.remove(root);
         }
     }
 
@@ -86,7 +83,7 @@
                 assertFalse(Files.readString(fleet.processes().log("a-" + i)).contains("spoilt"), "a-" + i + " trusted its ledger");
             }
         } finally {
-            remove(root);
+            TestFolders.remove(root);
         }
     }
 
@@ -105,15 +102,7 @@
             assertTrue(verdict.passed(), verdict.told());
             assertEquals(drawn.stream().map(Script.Step::told).toList(), verdict.played());
         } finally {
-            remove(root);
-        }
-    }
-
-    private static void remove(Path folder) throws IOException {
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(path);
-            }
+            TestFolders.remove(root);
         }
     }
 }
--- a/src/test/java/merlinlever/faults/disk/CrashStatesTest.java
+++ b/src/test/java/merlinlever/faults/disk/CrashStatesTest.java
@@ -11,13 +11,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.stream.Stream;
 import merlinlever.durable.DiskFolder;
 import merlinlever.durable.Recorded;
+import merlinlever.faults.TestFolders;
 import merlinlever.host.disk.Ledger;
 import net.jqwik.api.Example;
 
@@ -89,19 +88,11 @@
         Path root = Files.createTempDirectory("merlinlever-crash");
         try {
             List<String> lines = new ArrayList<>();
-            Recorded.Record record = new Recorded.Record() {
-                @Override public void line(String text) {
-                    lines.add(text);
-                }
-
-                @Override public void close() {
-                }
-            };
             SplittableRandom chance = new SplittableRandom(0x5eed_2026L);
             List<Map<String, Ledger.Noted>> after = new ArrayList<>();
             List<Integer> returnedAt = new ArrayList<>();
             Map<String, Ledger.Noted> now = new java.util.TreeMap<>();
-            try (Ledger ledger = new Ledger(new Recorded(new DiskFolder(root.resolve("day")), record, "day"))) {
+            try (Ledger ledger = new Ledger(new Recorded(new DiskFolder(root.resolve("day")), TestFolders.into(lines), "day"))) {
                 for (int i = 0; i < 24; i++) {
                     String instance = "i-" + chance.nextInt(4);
                     Ledger.Noted noted = new Ledger.Noted(chance.nextBoolean(), "t" + i, chance.nextInt(1, 99_999), i);
@@ -130,13 +121,13 @@
                 } catch (IOException | Ledger.Spoilt e) {
                     throw new AssertionError("cut " + state.cut() + " (" + state.how() + "): " + e.getMessage(), e);
                 } finally {
-                    remove(folder);
+                    TestFolders.remove(folder);
                 }
             });
             assertEquals(told, checked[0]);
             assertTrue(told > 50, "states laid: " + told);
         } finally {
-            remove(root);
+            TestFolders.remove(root);
         }
     }
 
@@ -149,16 +140,6 @@
         return true;
     }
 
-    private static void remove(Path folder) {
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(path);
-            }
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     @Example
     void aStateLaidIsReadBackAsItWas() throws Exception {
         Path folder = Files.createTempDirectory("merlinlever-lay");
@@ -169,7 +150,7 @@
             assertArrayEquals("v".getBytes(StandardCharsets.US_ASCII), Files.readAllBytes(folder.resolve("k")));
             assertTrue(Files.notExists(folder.resolve("stale")));
         } finally {
-            remove(folder);
+            TestFolders.remove(folder);
         }
     }
 }
--- a/src/test/java/merlinlever/host/run/HostAgentTest.java
+++ b/src/test/java/merlinlever/host/run/HostAgentTest.java
@@ -63,8 +63,8 @@
         ledger = new Ledger(folder.resolve("state"));
         Keeper.Stated usual = Keeper.Stated.USUAL;
         agent = new HostAgent(loop, ledger, hosted, new Keeper.Stated(usual.firstPause(), usual.longestPause(), usual.steadyAfter(), 4,
-                usual.budgetSpan(), Duration.ofMillis(1500)), new SplittableRandom(seed), log::add);
-        front = new HostFront(loop, new InetSocketAddress("127.0.0.1", 0), "m1", agent, null, "a-secret-of-16-or-more", Duration.ofSeconds(1), 1, line -> { });
+                usual.budgetSpan(), Duration.ofMillis(1500)), Duration.ZERO, new SplittableRandom(seed), log::add);
+        front = new HostFront(loop, new InetSocketAddress("127.0.0.1", 0), "m1", agent, null, null, "a-secret-of-16-or-more", Duration.ofSeconds(1), 1, line -> { });
         new Thread(loop::run).start();
     }
 
--- /dev/null
+++ b/src/test/java/merlinlever/recovery/net/ForwardingFolder.java
@@ -0,0 +1,39 @@
+package merlinlever.recovery.net;
+
+import java.io.IOException;
+import java.util.List;
+import merlinlever.durable.Folder;
+
+/** Another folder; what a test wants otherwise it overrides. */
+class ForwardingFolder implements Folder {
+
+    private final Folder inner;
+
+    ForwardingFolder(Folder inner) {
+        this.inner = inner;
+    }
+
+    @Override public List<String> names() throws IOException {
+        return inner.names();
+    }
+
+    @Override public byte[] read(String name) throws IOException {
+        return inner.read(name);
+    }
+
+    @Override public Out append(String name) throws IOException {
+        return inner.append(name);
+    }
+
+    @Override public void rename(String from, String to) throws IOException {
+        inner.rename(from, to);
+    }
+
+    @Override public void delete(String name) throws IOException {
+        inner.delete(name);
+    }
+
+    @Override public void force() throws IOException {
+        inner.force();
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/recovery/net/RejoinTest.java
@@ -0,0 +1,179 @@
+package merlinlever.recovery.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import merlinlever.durable.DiskFolder;
+import merlinlever.durable.Folder;
+import merlinlever.faults.TestFolders;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import merlinlever.recovery.Memory;
+import merlinlever.recovery.Return;
+import merlinlever.recovery.disk.Store;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/** Two that come back, on real datagrams and a real disk in one process; the disk of one may be held or fail. */
+class RejoinTest {
+
+    private static final String SECRET = "a-secret-of-16-or-more";
+
+    private Path root;
+    private Loop loop;
+    private final AtomicLong set = new AtomicLong();
+    private final List<String> log = Collections.synchronizedList(new ArrayList<>());
+    private volatile Duration keyedFrom, keyedTo;
+
+    /** A folder whose writes wait for a permit each, and fail where they are told to. */
+    private static final class Held extends ForwardingFolder {
+        final Semaphore permits = new Semaphore(0);
+        volatile boolean fails;
+
+        Held(Folder inner) {
+            super(inner);
+        }
+
+        @Override public void replace(String name, byte[] octets) throws IOException {
+            permits.acquireUninterruptibly();
+            if (fails) {
+                throw new IOException("no space left");
+            }
+            super.replace(name, octets);
+        }
+    }
+
+    private final Rejoin.Service service = new Rejoin.Service() {
+        @Override public void keyed(Duration from, Duration to) {
+            keyedFrom = from;
+            keyedTo = to;
+        }
+
+        @Override public void guess(double capacity, double completions) {
+        }
+
+        @Override public double capacity() {
+            return 12;
+        }
+
+        @Override public boolean fullSpeed() {
+            return true;
+        }
+    };
+
+    @BeforeTry
+    void begin() throws IOException {
+        root = Files.createTempDirectory("merlinlever-rejoin");
+        loop = new Loop(Clock.system(), failure -> log.add("failed: " + failure));
+        Thread thread = new Thread(loop::run, "rejoin-test");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterTry
+    void end() {
+        loop.stop();
+        TestFolders.remove(root);
+    }
+
+    private Rejoin make(String name, Folder folder, List<String> seeds, Rejoin.Service its) throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        Rejoin[] made = new Rejoin[1];
+        loop.execute(() -> {
+            try {
+                made[0] = new Rejoin(loop, folder, new Rejoin.Place(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "-", seeds, SECRET),
+                        new Return.Stated(Duration.ofMillis(800), Duration.ofMillis(100), Duration.ofMillis(100), Duration.ofMillis(400), Duration.ofMillis(600), 16),
+                        Duration.ofMillis(100), 3, () -> System.currentTimeMillis() + set.get(), its, line -> log.add(name + " " + line));
+            } catch (IOException e) {
+                log.add("failed: " + e);
+            }
+            done.countDown();
+        });
+        done.await();
+        return made[0];
+    }
+
+    private static void until(String what, BooleanSupplier so) throws InterruptedException {
+        long end = System.nanoTime() + 15_000_000_000L;
+        while (!so.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "not within 15 s: " + what);
+            Thread.sleep(10);
+        }
+    }
+
+    private boolean logged(String part) {
+        return List.copyOf(log).stream().anyMatch(line -> line.contains(part));
+    }
+
+    private String address(Rejoin one) {
+        return one.members().views().of(one.members().views().self()).gossip();
+    }
+
+    @Example
+    void nothingIsToldBeforeTheIncarnationIsOnTheDisk() throws Exception {
+        Rejoin first = make("a", new DiskFolder(root.resolve("a")), List.of(), Rejoin.Service.NONE);
+        Held held = new Held(new DiskFolder(root.resolve("b")));
+        Rejoin second = make("b", held, List.of(address(first)), service);
+        Thread.sleep(600);
+        assertEquals(1, first.members().views().size(), "a has heard of nobody while b's disk is held");
+        assertEquals(Duration.ZERO, keyedTo, "and b begins no keyed work");
+        held.permits.release(1000);
+        until("a hears b", () -> first.members().views().of("b") != null);
+        until("b is warm", () -> second.order().stage() == Return.Stage.WARM);
+        Memory left = Store.parsed(Files.readAllBytes(root.resolve("b").resolve(Store.FILE))).memory();
+        assertTrue(left.incarnations() >= first.members().views().of("b").incarnation());
+        assertEquals(List.of(address(first)), left.peers());
+    }
+
+    @Example
+    void aDiskThatFailsEndsKeyedWorkAndOneThatWorksAgainBeginsIt() throws Exception {
+        Held held = new Held(new DiskFolder(root.resolve("b")));
+        held.permits.release(1_000_000);
+        make("b", held, List.of(), service);
+        until("keyed work is taken", () -> keyedTo != null && keyedTo.compareTo(loop.clock().uptime()) > 0);
+        held.fails = true;
+        until("the last mark has run out", () -> keyedTo.compareTo(loop.clock().uptime()) <= 0);
+        assertTrue(logged("cannot be written: no space left; keyed work is turned away until it can"));
+        held.fails = false;
+        until("marks are made again", () -> keyedTo.compareTo(loop.clock().uptime()) > 0);
+        assertTrue(logged("it can be written again"));
+    }
+
+    @Example
+    void aClockThatIsSetEndsTheMarkAtOnce() throws Exception {
+        Held held = new Held(new DiskFolder(root.resolve("b")));
+        held.permits.release(1_000_000);
+        make("b", held, List.of(), service);
+        until("keyed work is taken", () -> keyedTo != null && keyedTo.compareTo(loop.clock().uptime()) > 0);
+        held.permits.drainPermits();
+        set.set(30_000);
+        until("the mark is not believed", () -> keyedTo.isZero());
+        held.permits.release(1_000_000);
+        until("the next one is", () -> keyedTo.compareTo(loop.clock().uptime()) > 0);
+        assertTrue(logged("the clock was set by "));
+    }
+
+    @Example
+    void anotherUnderTheSameNameIsFoundOut() throws Exception {
+        Rejoin first = make("a", new DiskFolder(root.resolve("a")), List.of(), Rejoin.Service.NONE);
+        Rejoin one = make("b", new DiskFolder(root.resolve("b1")), List.of(address(first)), Rejoin.Service.NONE);
+        until("b is there", () -> one.order().stage() == Return.Stage.WARM);
+        Rejoin two = make("b", new DiskFolder(root.resolve("b2")), List.of(address(first)), service);
+        until("one of them says so", () -> logged("another process lives under this one's name"));
+        assertTrue(one.members().views().rivals() > 1 || two.members().views().rivals() > 1);
+    }
+}
