--- a/src/main/java/merlinlever/Control.java
+++ b/src/main/java/merlinlever/Control.java
@@ -60,6 +60,9 @@
     private static final double SOONER = 0.94;
     private static final double LATER = 1.02;
 
+    // A share of so many a second is kept in any span of this; on the way to whom it is for it is not quite even.
+    private static final Duration SECOND = Duration.ofMillis(1050);
+
     /** Why an operation was pushed back. */
     public enum Reason { LEAVING, HUNG, MEMORY, HOPELESS, CHANCE, LATE, UNSETTLED }
 
@@ -87,12 +90,35 @@
         }
     }
 
+    /** This server's share of what the whole fleet may do: nothing beyond it, and nothing once its lease is over. */
+    private final class Limit {
+        private long share;
+        private Duration until, longest;
+        private boolean perSecond;
+        private final ArrayDeque<Duration> begun = new ArrayDeque<>();
+        private int inUse;
+
+        boolean allows(Duration now) {
+            while (!begun.isEmpty() && reached(now, begun.peek().plus(SECOND))) {
+                begun.poll();
+            }
+            return until == null || !reached(now, until) && (perSecond ? begun.size() : inUse) < share;
+        }
+
+        void begins(Duration now) {
+            if (until != null && perSecond) {
+                begun.add(now);
+            }
+        }
+    }
+
     /** That an operation is known until then, in the table unless its entry was renewed or struck since. */
     private record Entry(Op op, Duration until) {
     }
 
     private final class Tariff {
         final Kind kind;
+        final int index;
         final Duration softLimit, clientTimeout, window;
         final double stretch, value, lateValue, withoutCall;
         final boolean calls;
@@ -101,6 +127,7 @@
 
         Tariff(int index) {
             String at = "tariffs." + index + ".";
+            this.index = index;
             softLimit = span(at + "soft-limit", 1000);
             clientTimeout = span(at + "client-timeout", 2000);
             window = span(at + "window", 10000);
@@ -269,6 +296,8 @@
     private Duration leaveAt, stopAt;
     // Work that is not retriable is begun only if it came from the one on, and before the other.
     private Duration keyedFrom = Duration.ZERO, keyedTo;
+    // Of calls, then of the runs of each tariff.
+    private final List<Limit> limits = new ArrayList<>();
     private boolean hung;
     private Boolean saidHealthy;
     private double level, saidLevel;
@@ -303,8 +332,10 @@
         coldMs = Math.max(1, number("rules.cold", 1));
         says = given.getOrDefault("server.say", "none");
         runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
+        limits.add(new Limit());
         for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
             tariffs.add(new Tariff(i));
+            limits.add(new Limit());
         }
         span = tariffs.stream().map(t -> t.softLimit).min(Duration::compareTo).orElse(Duration.ofSeconds(1));
         double least = tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
@@ -407,6 +438,10 @@
             case CALLING -> calling += sign;
             default -> { }
         }
+        limits.get(0).inUse = calling;
+        if (op.phase == Phase.RUNNING || op.phase == Phase.AT_CALL || op.phase == Phase.CALLING) {
+            limits.get(op.tariff.index + 1).inUse += sign;
+        }
     }
 
     private void finish(Op op, Duration now) {
@@ -683,6 +718,26 @@
         }
     }
 
+    /**
+     * This server's share of a limit of the whole fleet, until its lease is over: of calls (-1) or of the runs of a tariff,
+     * in any second or at once. A call is given up after {@code longest}, as others have the share by then.
+     */
+    public void share(int tariff, long share, boolean perSecond, Duration until, Duration longest) {
+        Limit limit = limits.get(tariff + 1);
+        limit.longest = longest;
+        limit.share = share;
+        limit.perSecond = perSecond;
+        limit.until = until;
+    }
+
+    /** What is out of such a limit now, and what would be if it were larger: begun of late or now, and waiting. */
+    public long[] demand(Duration now, int tariff) {
+        Limit limit = limits.get(tariff + 1);
+        limit.allows(now);
+        long waits = tariff < 0 ? atCalls : hand.stream().filter(op -> op.phase == Phase.HELD && op.tariff.index == tariff).count();
+        return new long[] {limit.inUse, (limit.perSecond ? limit.begun.size() : limit.inUse) + waits};
+    }
+
     /** The gauges, in the order that was stated at start. */
     public void look(Duration now, double[] gauges) {
         clock(now);
@@ -711,9 +766,12 @@
         next.shared.removeIf(op -> ((Op) op).phase != Phase.SHARING);
         expire(now);
         for (Op op : hand) {
-            if (op.phase == Phase.AT_CALL && !op.answered && mayCall()) {
+            if (op.phase == Phase.AT_CALL && !op.answered && mayCall() && limits.get(0).allows(now)) {
                 move(op, Phase.CALLING);
-                next.called.add(new Settled.Timed(op, later(Duration.ofMillis(1), op.due.minus(now))));
+                limits.get(0).begins(now);
+                Duration longest = limits.get(0).longest;
+                Duration span = later(Duration.ofMillis(1), op.due.minus(now));
+                next.called.add(new Settled.Timed(op, longest == null ? span : earlier(longest, span)));
             }
         }
         start(now);
@@ -807,9 +865,11 @@
             if (marked || crowded || hung) {
                 return;
             }
-            if (op.tariff.calls && atCalls + calling >= callCap) {
+            Limit runs = limits.get(op.tariff.index + 1);
+            if (op.tariff.calls && atCalls + calling >= callCap || !runs.allows(now)) {
                 continue;
             }
+            runs.begins(now);
             if (onCores == 0) {
                 progress = now;
             }
--- a/src/main/java/merlinlever/cli/Commands.java
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -105,6 +105,14 @@
             return 0;
         }
 
+        @Command(name = "budgets", mixinStandardHelpOptions = true,
+                description = "Limits of the whole fleet: on virtual time with up to 1,000 backends, and on real ones under faults. Some minutes.")
+        int budgets(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
+                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
+            new merlinlever.measure.BudgetMeasure(out, quick).run();
+            return 0;
+        }
+
         @Command(name = "recovery", mixinStandardHelpOptions = true,
                 description = "Fleets of backends that lose their power and come back, with what they keep and without. Some minutes.")
         int recovery(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -198,6 +198,9 @@
             assembly.records.moveTo(parties.records());
             reports.moveTo(parties.lookup());
             report();
+            if (recovering != null) {
+                recovering.reread(Json.flat(configuration()));
+            }
         } catch (Unusable e) {
             log.warn("configuration not taken over: " + e.getMessage());
             if (readings > 1) {
--- a/src/main/java/merlinlever/cli/fleet/FleetCommands.java
+++ b/src/main/java/merlinlever/cli/fleet/FleetCommands.java
@@ -32,7 +32,7 @@
         description = "List, start, drain, stop and restart instances through their agents.",
         subcommands = {FleetCommands.ListAll.class, FleetCommands.Show.class, FleetCommands.Start.class, FleetCommands.Drain.class,
             FleetCommands.Stop.class, FleetCommands.Restart.class, FleetCommands.RollAll.class, FleetCommands.Events.class, FleetCommands.Watch.class,
-            Recover.class})
+            FleetCommands.Budgets.class, Recover.class})
 public final class FleetCommands implements Runnable {
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -187,7 +187,7 @@
             out().flush();
         }
 
-        private static String ago(JsonNode ms) {
+        static String ago(JsonNode ms) {
             if (!ms.isNumber()) {
                 return "-";
             }
@@ -236,6 +236,44 @@
     }
 
     /** A table that is drawn again and again. */
+    @Command(name = "budgets", mixinStandardHelpOptions = true,
+            description = "Show each backend's share of the limits of the whole fleet, how old that is, and the sum.",
+            exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:all agents answered", "1:at least one did not", "2:wrong usage"})
+    static final class Budgets extends Base {
+        @Override public Integer call() {
+            List<String> silent = new ArrayList<>();
+            List<JsonNode> instances = instances(where.clients(spec), silent);
+            if (where.form == Form.json) {
+                ArrayNode array = JSON.createArrayNode();
+                instances.forEach(instance -> instance.path("told").path("shares").forEach(share -> array.add(((ObjectNode) share.deepCopy())
+                        .put("instance", instance.path("name").asText()).put("host", instance.path("host").asText())
+                        .put("heard_ms_ago", instance.path("heard_ms_ago").asLong()))));
+                out().println(array.toPrettyString());
+                out().flush();
+                return told(silent);
+            }
+            List<String[]> rows = new ArrayList<>();
+            rows.add(new String[] {"BUDGET", "NAME", "HOST", "SHARE", "IN USE", "LEFT", "HEARD", "DIVIDED BY"});
+            Map<String, long[]> sums = new java.util.TreeMap<>();
+            for (JsonNode instance : instances) {
+                for (JsonNode share : instance.path("told").path("shares")) {
+                    rows.add(new String[] {share.path("name").asText(), instance.path("name").asText(), instance.path("host").asText(),
+                        share.path("share").asText(), share.path("inUse").asText(), ago(share.path("leftMs")), ago(instance.path("heard_ms_ago")),
+                        share.path("leader").asText().isEmpty() ? "nobody" : share.path("leader").asText() + ", term " + share.path("term").asText()});
+                    long[] sum = sums.computeIfAbsent(share.path("name").asText(), none -> new long[3]);
+                    sum[0] += share.path("share").asLong();
+                    sum[1] = Math.max(sum[1], share.path("whole").asLong());
+                    sum[2]++;
+                }
+            }
+            table(rows);
+            // Looked at one after the other; a share that moved in between is in it twice or not at all.
+            sums.forEach((name, sum) -> out().println(name + ": " + sum[0] + " of " + sum[1] + " held by " + sum[2]));
+            out().flush();
+            return told(silent);
+        }
+    }
+
     @Command(name = "watch", mixinStandardHelpOptions = true, description = "Show the list again each second, until it is interrupted.")
     static final class Watch extends Base {
         @Mixin
--- a/src/main/java/merlinlever/cli/fleet/Host.java
+++ b/src/main/java/merlinlever/cli/fleet/Host.java
@@ -121,6 +121,7 @@
         words.put("{n}", "" + n);
         words.put("{name}", name);
         words.put("{folder}", folder.toString());
+        words.put("{budgets}", sheet.json("budgets"));
         words.put("{program}", new java.io.File(Host.class.getProtectionDomain().getCodeSource().getLocation().getPath()).getPath());
         InetSocketAddress manage = null;
         if (sheet.has(at + ".manage")) {
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import merlinlever.Control;
 import merlinlever.Ending;
@@ -44,6 +45,8 @@
     /** What the module is told of the return of this process, once there is one; null where nothing is. */
     private Duration keyedFrom, keyedTo;
     private double guessed, completions;
+    /** The limits of the whole fleet that it has a share of, by tariff, -1 for calls; whether they are a second's. */
+    private final Map<Integer, Boolean> limited = new TreeMap<>();
     private int inHand;
     /** Runs that were sent onto the cores since the agent was last asked for its gauges. */
     private int ontoCores;
@@ -128,6 +131,8 @@
         given.put("server.cold", "" + cold);
         conductor = new Conductor<>(given, seed, this);
         conductor.control().guess(guessed, completions);
+        // Nothing of what is shared with others before it is told its share.
+        limited.forEach((tariff, perSecond) -> conductor.control().share(tariff, 0, perSecond, now, null));
         if (keyedFrom != null) {
             conductor.control().keyed(keyedFrom, keyedTo);
         }
@@ -143,6 +148,19 @@
         }
     }
 
+    /** See {@link Control#share}. */
+    public void share(int tariff, long share, boolean perSecond, Duration until, Duration longest) {
+        limited.put(tariff, perSecond);
+        if (conductor != null) {
+            conductor.control().share(tariff, share, perSecond, until, longest);
+        }
+    }
+
+    /** See {@link Control#demand}. */
+    public long[] demand(Duration now, int tariff) {
+        return conductor == null ? new long[2] : conductor.control().demand(now, tariff);
+    }
+
     /** See {@link Control#guess}. */
     public void guess(double capacity, double of) {
         guessed = capacity;
--- a/src/main/java/merlinlever/faults/ServeFleet.java
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -16,10 +16,12 @@
 import java.util.function.Consumer;
 import merlinlever.durable.Folders;
 import merlinlever.faults.audit.Rules;
+import merlinlever.faults.audit.Shares;
 import merlinlever.faults.link.Links;
 import merlinlever.faults.link.UdpSwitch;
 import merlinlever.faults.party.Callers;
 import merlinlever.faults.party.RenderFarm;
+import merlinlever.faults.party.SharedParty;
 import merlinlever.faults.proc.Processes;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
@@ -34,9 +36,21 @@
     /**
      * What is stated.
      *
+     * @param budget of the whole fleet's calls, or null where there are none
      * @param recovery whether the backends keep anything for their return; without it they start as they do on the platform
      */
-    public record Stated(int count, boolean recovery, double perSecond, Duration window) {
+    public record Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget) {
+        public Stated(int count, boolean recovery, double perSecond, Duration window) {
+            this(count, recovery, perSecond, window, null);
+        }
+    }
+
+    /** A limit of the whole fleet on the calls to the party that all share; each run makes one call. */
+    public record Whole(long whole, boolean perSecond, Duration lease, Duration takes) {
+        String json(long now) {
+            return "[{\"name\":\"calls\",\"whole\":" + now + ",\"per\":\"" + (perSecond ? "second" : "at-once") + "\",\"lease\":\"" + lease.toMillis()
+                    + "ms\",\"longest\":\"1000ms\"}]";
+        }
     }
 
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
@@ -50,10 +64,14 @@
     private final List<InetSocketAddress> manages = new ArrayList<>();
     private final List<RenderFarm> farms = new ArrayList<>();
     private final List<Callers> callers = new ArrayList<>();
+    private final List<String> configurations = new ArrayList<>();
     private final Links links;
     private final Loop loop;
     private final UdpSwitch hub;
     private final Rules rules = new Rules();
+    /** Null where no calls are made. */
+    private final SharedParty party;
+    private final Shares shares;
 
     public ServeFleet(Path root, Stated stated, List<String> java, long seed) throws IOException, InterruptedException {
         this.root = root;
@@ -75,7 +93,18 @@
         Path secret = root.resolve("secret");
         Files.writeString(secret, SECRET);
         SplittableRandom chance = new SplittableRandom(seed);
+        Whole budget = stated.budget();
+        shares = budget == null ? null : new Shares(budget.whole(), budget.perSecond());
+        SharedParty[] shared = new SharedParty[1];
         IOException[] failed = new IOException[1];
+        on(none -> {
+            try {
+                shared[0] = budget == null ? null : new SharedParty(loop, new InetSocketAddress(HERE, 0), budget.takes(), shares);
+            } catch (IOException e) {
+                failed[0] = e;
+            }
+        });
+        party = shared[0];
         for (int i = 0; i < count; i++) {
             InetSocketAddress listen = new InetSocketAddress(HERE, AgentFleet.freePort());
             manages.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
@@ -83,7 +112,7 @@
             SplittableRandom its = chance.split();
             on(none -> {
                 try {
-                    farms.add(new RenderFarm(loop, name, new InetSocketAddress(HERE, 0), WORK, rules));
+                    farms.add(new RenderFarm(loop, name, new InetSocketAddress(HERE, 0), WORK, budget != null, rules));
                     callers.add(new Callers(loop, listen, new Callers.Stated(stated.perSecond(), 0.4, WAIT, stated.window()), rules, its));
                 } catch (IOException e) {
                     failed[0] = e;
@@ -95,13 +124,28 @@
             Path folder = root.resolve(name);
             Files.createDirectories(folder);
             Path file = folder.resolve("config.json");
-            Files.writeString(file, configuration(i, listen, real.get(i), secret, its.nextLong()));
+            configurations.add(configuration(i, listen, real.get(i), secret, its.nextLong()));
+            Files.writeString(file, configured(i, budget == null ? 0 : budget.whole()));
             List<String> command = new ArrayList<>(java);
             command.add("serve");
             specs.add(new Processes.Spec(name, command, Map.of("GW_CONFIG", file.toString(), Folders.RECORD, records(i).toString()), folder));
         }
     }
 
+    private String configured(int i, long whole) {
+        return configurations.get(i) + (stated.budget() == null ? "" : ",\"budgets\":" + stated.budget().json(whole)) + "}";
+    }
+
+    /** Another whole, told to all that run by SIGHUP. */
+    public void whole(long changed) throws IOException, InterruptedException {
+        for (int i = 0; i < count(); i++) {
+            Files.writeString(root.resolve(name(i)).resolve("config.json"), configured(i, changed));
+            if (runs(i)) {
+                processes.hangUp(name(i));
+            }
+        }
+    }
+
     private String configuration(int i, InetSocketAddress listen, InetSocketAddress real, Path secret, long seed) throws IOException {
         List<String> seeds = new ArrayList<>();
         for (int other = 0; other < stated.count() && seeds.size() < 8; other++) {
@@ -111,16 +155,32 @@
         }
         String recovery = !stated.recovery() ? "" : ",\"recovery\":{\"state\":\"" + state(i) + "\",\"listen\":\"" + AgentFleet.text(real)
                 + "\",\"advertise\":\"" + AgentFleet.text(hub.front(i)) + "\",\"seeds\":[" + String.join(",", seeds)
-                + "],\"secret-file\":\"" + secret + "\",\"mark-ms\":200,\"patience-ms\":1500,\"spread-ms\":200}";
+                + "],\"secret-file\":\"" + secret + "\",\"mark-ms\":200,\"patience-ms\":1500,\"spread-ms\":200"
+                + (stated.budget() == null ? "" : ",\"voters\":[" + voters() + "]") + "}";
         // Nobody reads the directory's reports here.
         return "{\"name\":\"" + name(i) + "\",\"listen\":\"" + AgentFleet.text(listen) + "\",\"agent\":\"" + AgentFleet.text(farms.get(i).address())
                 + "\",\"lookup\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed) + "\",\"stop_ms\":3000,\"manage\":\""
                 + AgentFleet.text(manages.get(i)) + "\",\"limits\":{\"sockets\":200},\"settings\":{\"family-info\":{\"n-cores\":8,"
-                + "\"memory-kb\":200000,\"gauges\":[\"runnable\"],\"halt\":\"drop\",\"kb-per-key\":10},\"invariants\":{\"drain-grace\":100,"
+                + "\"memory-kb\":200000,\"gauges\":[\"runnable\"],\"halt\":\"drop\",\"kb-per-key\":10" + (stated.budget() == null ? ""
+                : ",\"calls-by-class\":[true,true]") + "},\"invariants\":{\"drain-grace\":100,"
                 + "\"overload-factor\":8,\"cold\":1000,\"cold-share\":0.5},\"bounds\":{\"retry-after\":true,\"max-retry-after\":1000},"
                 + "\"services\":[{\"name\":\"look\",\"semantics\":\"repeatable\",\"aim\":1000,\"hard-limit\":2000},"
                 + "{\"name\":\"buy\",\"semantics\":\"by_key\",\"aim\":1000,\"hard-limit\":2000,\"window\":" + stated.window().toMillis()
-                + "}]}" + recovery + "}";
+                + "}]}" + recovery + (party == null ? "" : ",\"records\":\"" + AgentFleet.text(party.address()) + "\"");
+    }
+
+    /** Five of them, or all where there are fewer. */
+    private String voters() {
+        List<String> voters = new ArrayList<>();
+        for (int i = 0; i < Math.min(5, stated.count()); i++) {
+            voters.add("\"" + name(i) + "\"");
+        }
+        return String.join(",", voters);
+    }
+
+    /** What the party that all share saw; read on the loop's thread. */
+    public Shares shares() {
+        return shares;
     }
 
     public int count() {
@@ -210,7 +270,12 @@
 
     @Override public void close() {
         processes.close();
-        loop.execute(() -> farms.forEach(RenderFarm::close));
+        loop.execute(() -> {
+            farms.forEach(RenderFarm::close);
+            if (party != null) {
+                party.close();
+            }
+        });
         hub.close();
         loop.execute(loop::stop);
     }
--- a/src/main/java/merlinlever/faults/party/RenderFarm.java
+++ b/src/main/java/merlinlever/faults/party/RenderFarm.java
@@ -30,6 +30,8 @@
     private static final class Run {
         final String id;
         Loop.Timer effect, end;
+        /** What goes on once its call is answered. */
+        Runnable then;
 
         Run(String id) {
             this.id = id;
@@ -40,6 +42,8 @@
     private final String name;
     private final Rules rules;
     private final Duration work;
+    /** Whether each run makes one call before it ends. */
+    private final boolean calls;
     private final Listener listener;
     private final Map<String, Run> runs = new LinkedHashMap<>();
     private final List<String> notices = new ArrayList<>();
@@ -48,8 +52,9 @@
     private boolean dark;
 
     /** On the loop's thread, as all of it. */
-    public RenderFarm(Loop loop, String name, InetSocketAddress address, Duration work, Rules rules) throws IOException {
+    public RenderFarm(Loop loop, String name, InetSocketAddress address, Duration work, boolean calls, Rules rules) throws IOException {
         this.loop = loop;
+        this.calls = calls;
         this.name = name;
         this.work = work;
         this.rules = rules;
@@ -118,6 +123,14 @@
                 case "sample" -> say("{\"cmd\":\"sampled\",\"token\":\"" + command.get("token") + "\",\"load\":[" + runs.size() + "]}");
                 case "exercise" -> say("{\"cmd\":\"exercised\",\"token\":\"" + command.get("token") + "\",\"result\":\"OK\"}");
                 case "launch" -> launch(id, String.valueOf(command.get("payload")), "buy".equals(command.get("method")));
+                case "deliver" -> {
+                    Run run = runs.get(id);
+                    if (run != null && run.then != null) {
+                        Runnable then = run.then;
+                        run.then = null;
+                        then.run();
+                    }
+                }
                 case "freeze" -> {
                     Run run = runs.remove(id);
                     if (run != null) {
@@ -168,12 +181,20 @@
                 rules.effect(operation, id, name);
             }
         });
-        run.end = loop.in(work, () -> {
+        Runnable ends = () -> {
             runs.remove(id);
             String result = "done " + operation + " by " + id;
             rules.made(operation, result);
             notice("\"cmd\":\"outcome\"", id, "\"result\":\"OK\",\"elapsed_ms\":" + work.toMillis() + ",\"payload\":\""
                     + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.US_ASCII)) + "\"");
+        };
+        run.end = loop.in(work, () -> {
+            if (calls) {
+                run.then = ends;
+                notice("\"cmd\":\"request\"", id, "\"payload\":\"AQ==\"");
+            } else {
+                ends.run();
+            }
         });
     }
 
--- /dev/null
+++ b/src/main/java/merlinlever/faults/party/SharedParty.java
@@ -0,0 +1,98 @@
+package merlinlever.faults.party;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import merlinlever.faults.audit.Shares;
+import merlinlever.net.Connection;
+import merlinlever.net.Ended;
+import merlinlever.net.Listener;
+import merlinlever.net.Loop;
+
+/** The records service as the protocol page has it, one for all backends: answers each call after the same time, and counts. */
+public final class SharedParty {
+
+    private static final int BUFFER = 16 * 1024;
+
+    private final Loop loop;
+    private final Duration takes;
+    private final Shares shares;
+    private final Listener listener;
+
+    /** On the loop's thread, as all of it. */
+    public SharedParty(Loop loop, InetSocketAddress address, Duration takes, Shares shares) throws IOException {
+        this.loop = loop;
+        this.takes = takes;
+        this.shares = shares;
+        listener = new Listener(loop, address, 4000, channel -> {
+            Line made = new Line();
+            made.connection = Connection.accepted(loop, channel, made, BUFFER, BUFFER);
+            made.connection.readOn();
+        }, () -> { });
+        listener.accept();
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    public void close() {
+        listener.close();
+    }
+
+    private final class Line implements Connection.User {
+        private final Map<String, Loop.Timer> calls = new HashMap<>();
+        private Connection connection;
+
+        @Override public void read(ByteBuffer in) {
+            while (true) {
+                String text = StandardCharsets.ISO_8859_1.decode(in.duplicate()).toString();
+                int end = text.indexOf("\r\n");
+                if (end < 0) {
+                    return;
+                }
+                String[] words = text.substring(0, end).split(" ");
+                if (words[0].equals("UNOP") && words.length == 2) {
+                    in.position(in.position() + end + 2);
+                    over(words[1]);
+                } else if (words[0].equals("OP") && words.length == 4) {
+                    int length = Integer.parseInt(words[3]);
+                    if (text.length() < end + 2 + length + 2) {
+                        return;
+                    }
+                    in.position(in.position() + end + 2 + length + 2);
+                    begin(words[1]);
+                } else {
+                    connection.end(Ended.MALFORMED);
+                    return;
+                }
+            }
+        }
+
+        private void begin(String id) {
+            over(id);
+            shares.began(loop.clock().uptime().toMillis(), id);
+            calls.put(id, loop.in(takes, () -> {
+                over(id);
+                connection.write(ByteBuffer.wrap((id + " DONE 2\r\nok\r\n").getBytes(StandardCharsets.US_ASCII)));
+            }));
+        }
+
+        private void over(String id) {
+            Loop.Timer call = calls.remove(id);
+            if (call != null) {
+                call.callOff();
+                shares.ended();
+            }
+        }
+
+        @Override public void ended(Ended how) {
+            java.util.List.copyOf(calls.keySet()).forEach(this::over);
+            listener.gone();
+        }
+    }
+}
--- a/src/main/java/merlinlever/faults/proc/Processes.java
+++ b/src/main/java/merlinlever/faults/proc/Processes.java
@@ -126,6 +126,11 @@
         one(name).paused = false;
     }
 
+    /** SIGHUP: it reads its configuration again. */
+    public void hangUp(String name) throws IOException, InterruptedException {
+        signal(name, "HUP");
+    }
+
     private void signal(String name, String signal) throws IOException, InterruptedException {
         Process process = one(name).process;
         if (!process.isAlive()) {
--- a/src/main/java/merlinlever/host/run/Visit.java
+++ b/src/main/java/merlinlever/host/run/Visit.java
@@ -7,6 +7,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -103,9 +105,14 @@
     private static Told told(JsonNode node) {
         Map<String, Long> reasons = new TreeMap<>();
         node.path("pushed_back").properties().forEach(entry -> reasons.put(entry.getKey(), entry.getValue().asLong()));
+        List<Told.Share> shares = new ArrayList<>();
+        for (JsonNode each : node.path("recovery").path("budgets")) {
+            shares.add(new Told.Share(each.path("name").asText(), each.path("whole").asLong(), each.path("share").asLong(), each.path("left_ms").asLong(),
+                    each.path("in_use").asLong(), each.path("leader").asText(), each.path("term").asLong()));
+        }
         return new Told(node.required("phase").asText(), node.path("healthy").asBoolean(), node.path("hung").asBoolean(), node.path("held").asInt(),
                 node.path("running").asInt(), node.path("in_hand").asInt(), node.path("capacity").asDouble(Double.NaN), node.path("avg").asDouble(),
-                node.path("level").asDouble(), reasons, node.path("broken_off").asLong());
+                node.path("level").asDouble(), reasons, node.path("broken_off").asLong(), shares);
     }
 
     @Override public void ended(Ended how) {
--- a/src/main/java/merlinlever/host/state/Told.java
+++ b/src/main/java/merlinlever/host/state/Told.java
@@ -1,5 +1,6 @@
 package merlinlever.host.state;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,7 +10,17 @@
  * @param capacity what its module learned that its hold can take
  * @param inHand operations that are read and not yet answered
  * @param pushedBack since its start, by reason
+ * @param shares of the limits of the whole fleet
  */
 public record Told(String phase, boolean healthy, boolean hung, int held, int running, int inHand, double capacity, double avg, double level,
-        Map<String, Long> pushedBack, long brokenOff) {
+        Map<String, Long> pushedBack, long brokenOff, List<Share> shares) {
+
+    /** Its share of one limit, how long that holds still, and who divides under which term. */
+    public record Share(String name, long whole, long share, long leftMs, long inUse, String leader, long term) {
+    }
+
+    public Told(String phase, boolean healthy, boolean hung, int held, int running, int inHand, double capacity, double avg, double level,
+            Map<String, Long> pushedBack, long brokenOff) {
+        this(phase, healthy, hung, held, running, inHand, capacity, avg, level, pushedBack, brokenOff, List.of());
+    }
 }
--- a/src/main/java/merlinlever/members/Link.java
+++ b/src/main/java/merlinlever/members/Link.java
@@ -49,7 +49,8 @@
         return strange;
     }
 
-    private void settle() {
+    /** Sends what is to be sent now. */
+    public void settle() {
         List<Members.Sending> sendings = members.settle(loop.clock().uptime());
         if (!mayTell.test(members.views().of(members.views().self()).incarnation())) {
             // Lost, as any datagram may be.
--- a/src/main/java/merlinlever/members/Members.java
+++ b/src/main/java/merlinlever/members/Members.java
@@ -17,13 +17,13 @@
 public final class Members {
 
     /** The kinds of messages; only asking ones are answered. */
-    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK, RECALL, RECALLED }
+    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK, RECALL, RECALLED, SAY }
 
     /**
      * One message.
      *
      * @param number of the question; an answer bears that of its question
-     * @param about the gossip address that {@code ASK_FOR} is about, what {@code RECALLED} tells, else empty
+     * @param about the gossip address that {@code ASK_FOR} is about, what {@code RECALLED} tells or {@code SAY} says, else empty
      */
     public record Message(Kind kind, String from, long number, String about, List<Views.Rumour> rumours) {
     }
@@ -37,6 +37,11 @@
         void told(String name, long number, String what);
     }
 
+    /** Hears what others say to this one, beside membership; it takes what it understands. */
+    public interface Hearer {
+        void said(String name, long number, String what);
+    }
+
     /** A message and where it goes. */
     public record Sending(String to, Message message) {
     }
@@ -106,6 +111,7 @@
     private List<Sending> out = new ArrayList<>();
     private Duration nextPeriod;
     private Recall recall;
+    private Hearer hearer;
     private long numbers;
     private long periods;
     private int health;
@@ -129,6 +135,19 @@
         recall = with;
     }
 
+    /** From here on it hears what others say to this one. */
+    public void hears(Hearer who) {
+        hearer = who;
+    }
+
+    /** Says something to another, 120 printable octets without spaces at the most; lost where it is not known. */
+    public void say(String name, long number, String what) {
+        Views.Rumour known = views.of(name);
+        if (known != null) {
+            send(known.gossip(), Kind.SAY, number, what);
+        }
+    }
+
     /** Asks another what it knows. */
     public void ask(String name, long number) {
         send(views.of(name).gossip(), Kind.RECALL, number, "");
@@ -245,6 +264,11 @@
                     recall.told(message.from, message.number, message.about);
                 }
             }
+            case SAY -> {
+                if (hearer != null) {
+                    hearer.said(message.from, message.number, message.about);
+                }
+            }
             default -> { }
         }
     }
--- a/src/main/java/merlinlever/members/Wire.java
+++ b/src/main/java/merlinlever/members/Wire.java
@@ -24,7 +24,7 @@
     private static final short MARK = 0x4d4c;
     private static final byte VERSION = 1;
     private static final int MAC = 16;
-    private static final int MOST_TEXT = 64;
+    private static final int MOST_TEXT = 120;
 
     private final SecretKeySpec secret;
 
--- a/src/main/java/merlinlever/recovery/net/Rejoin.java
+++ b/src/main/java/merlinlever/recovery/net/Rejoin.java
@@ -144,6 +144,11 @@
         return order;
     }
 
+    /** What is to be said to others is said now, and not at the next look. */
+    public void send() {
+        link[0].settle();
+    }
+
     /** This one goes in good order; the others are told. */
     public void leave() {
         link[0].leave();
--- a/src/main/java/merlinlever/sheet/Sheet.java
+++ b/src/main/java/merlinlever/sheet/Sheet.java
@@ -255,6 +255,11 @@
         return texts;
     }
 
+    /** The value as JSON, "[]" where there is none. */
+    public String json(String path) {
+        return has(path) ? at(path).toString() : "[]";
+    }
+
     /** The keys of a mapping with their values as text, in the order of the file. */
     public Map<String, String> pairs(String path) {
         Map<String, String> pairs = new java.util.LinkedHashMap<>();
