--- a/src/main/java/merlinlever/budgets/Book.java
+++ b/src/main/java/merlinlever/budgets/Book.java
@@ -160,10 +160,4 @@
         });
         return key.toString();
     }
-
-    /** How many ask, for telling. */
-    public int asking(Duration now) {
-        expire(now);
-        return accounts.size();
-    }
 }
--- a/src/main/java/merlinlever/budgets/Election.java
+++ b/src/main/java/merlinlever/budgets/Election.java
@@ -37,7 +37,7 @@
     private long numbers;
     private final Map<Long, Duration> out = new HashMap<>();
     private final Map<String, Duration> promisedSince = new HashMap<>();
-    private Duration ledSince, nextAsk;
+    private Duration nextAsk;
     private long heardTerm, heardLeaderTerm;
     private String heardLeader;
     private Duration heardAt;
@@ -135,7 +135,6 @@
         promisedSince.merge(voter, at, (a, b) -> a.compareTo(b) > 0 ? a : b);
         if (!leads && leadsUntil() != null && now.compareTo(leadsUntil()) < 0) {
             leads = true;
-            ledSince = now;
             nextAsk = now;
         }
     }
@@ -166,10 +165,6 @@
         return term;
     }
 
-    public Duration ledSince() {
-        return ledSince;
-    }
-
     /** A leader was heard; the highest term counts, and an older one is not listened to. */
     public void heardLeader(Duration now, String leader, long itsTerm) {
         if (itsTerm >= heardLeaderTerm) {
--- a/src/main/java/merlinlever/budgets/Sharing.java
+++ b/src/main/java/merlinlever/budgets/Sharing.java
@@ -161,7 +161,7 @@
             return;
         }
         if (leader.name().equals(self)) {
-            Book.Grant grant = books.isEmpty() ? null : books.get(i).grant(now, request(self, life, ask.grant(), ask.held(), ask.inUse(), ask.wanted()));
+            Book.Grant grant = books.isEmpty() ? null : books.get(i).grant(now, new Book.Request(self, life, ask.grant(), ask.held(), ask.inUse(), ask.wanted()));
             if (grant != null) {
                 holdings.get(i).granted(now, leader.term(), ask.number(), grant.number(), grant.amount());
             }
@@ -171,10 +171,6 @@
         }
     }
 
-    private static Book.Request request(String holder, long life, long grant, long held, long inUse, long wanted) {
-        return new Book.Request(holder, life, grant, held, inUse, wanted);
-    }
-
     /** A leadership begins with books that know nothing of the one before. */
     private void books(Duration now) {
         if (!election.leads(now)) {
@@ -267,7 +263,7 @@
         if (i < 0) {
             return;
         }
-        Book.Grant grant = books.get(i).grant(now, request(name, Long.parseUnsignedLong(part[3], 16), Long.parseLong(part[4]), Long.parseLong(part[5]),
+        Book.Grant grant = books.get(i).grant(now, new Book.Request(name, Long.parseUnsignedLong(part[3], 16), Long.parseLong(part[4]), Long.parseLong(part[5]),
                 Long.parseLong(part[6]), Long.parseLong(part[7])));
         if (grant != null) {
             say(name, number, "G/" + bookTerm + "/" + part[2] + "/" + grant.number() + "/" + grant.amount());
--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -34,7 +34,6 @@
     private final Loop loop;
     private final Backend backend;
     private final Rejoin rejoin;
-    private final Map<String, String> given;
     /** Null where no limit is shared with the others. */
     private final Budgets budgets;
 
@@ -42,7 +41,6 @@
             throws Serve.Unusable, IOException {
         this.loop = loop;
         this.backend = backend;
-        this.given = given;
         for (String name : rest.keySet()) {
             if (name.startsWith("recovery.") && !NAMES.contains(name.substring(9))) {
                 throw new Serve.Unusable("the configuration's " + name + " is not known; recovery has " + String.join(", ", NAMES));
@@ -146,7 +144,7 @@
                 throw new Serve.Unusable("the configuration's " + at + "whole is to be a whole number from 0 to 1000000000");
             } else if (!(drift >= 0 && drift <= 0.2)) {
                 throw new Serve.Unusable("the configuration's " + at + "drift is to be from 0 to 0.2");
-            } else if (!of.equals("calls") && tariff(of) < 0) {
+            } else if (!of.equals("calls") && backend.tariff(of) < 0) {
                 throw new Serve.Unusable("the configuration's " + at + "of is calls or a tariff, not " + of);
             }
             budgets.add(new Budget(name, of, (long) whole, per.equals("second") ? Budget.Per.SECOND : Budget.Per.AT_ONCE, text(rest, at + "lease", "2s"),
@@ -168,16 +166,6 @@
         return span;
     }
 
-    /** The index of the tariff, or -1. */
-    private int tariff(String name) {
-        for (int i = 0; given.containsKey("tariffs." + i + ".name"); i++) {
-            if (given.get("tariffs." + i + ".name").equals(name)) {
-                return i;
-            }
-        }
-        return -1;
-    }
-
     /** The configuration was read again: the wholes are taken from it, all else stays as it was at the start. */
     void reread(Map<String, String> rest) throws Serve.Unusable {
         if (budgets != null) {
@@ -186,11 +174,11 @@
     }
 
     @Override public long[] demand(Duration now, Budget budget) {
-        return backend.demand(ofModule(now), tariff(budget.of()));
+        return backend.demand(ofModule(now), backend.tariff(budget.of()));
     }
 
     @Override public void share(Budget budget, long share, Duration until) {
-        backend.share(tariff(budget.of()), share, budget.per() == Budget.Per.SECOND, ofModule(until),
+        backend.share(backend.tariff(budget.of()), share, budget.per() == Budget.Per.SECOND, ofModule(until),
                 budget.of().equals("calls") && budget.per() == Budget.Per.AT_ONCE ? budget.longest() : null);
     }
 
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -192,14 +192,15 @@
     /** The configuration was replaced: the parties may be elsewhere now; all else stays as it was at the start. */
     private void reread(int readings) {
         try {
-            Parties parties = Parties.of(Json.flat(configuration()));
+            Map<String, String> rest = Json.flat(configuration());
+            Parties parties = Parties.of(rest);
             log.info("configuration read again: " + parties);
             assembly.agent.moveTo(parties.agent());
             assembly.records.moveTo(parties.records());
             reports.moveTo(parties.lookup());
             report();
             if (recovering != null) {
-                recovering.reread(Json.flat(configuration()));
+                recovering.reread(rest);
             }
         } catch (Unusable e) {
             log.warn("configuration not taken over: " + e.getMessage());
--- a/src/main/java/merlinlever/faults/BudgetFaults.java
+++ b/src/main/java/merlinlever/faults/BudgetFaults.java
@@ -66,20 +66,9 @@
         this.log = log;
     }
 
-    private List<Integer> all() {
-        List<Integer> all = new ArrayList<>();
-        for (int i = 0; i < fleet.count(); i++) {
-            all.add(i);
-        }
-        return all;
-    }
-
     /** Starts all with their callers; returns when each has a share. */
     public void begin() throws IOException, InterruptedException {
-        for (int i : all()) {
-            fleet.start(i);
-        }
-        fleet.on(none -> all().forEach(i -> fleet.callers(i).begin()));
+        fleet.startAll();
         if (divided() == null) {
             throw new IOException("not every backend has a share within " + patience.toMillis() + " ms; see the logs");
         }
@@ -92,7 +81,7 @@
 
     /** Whoever says that it divides, or the first. */
     private int leader() {
-        for (int i : all()) {
+        for (int i : fleet.all()) {
             JsonNode budget = budget(i);
             if (budget != null && budget.path("out").asLong(-1) >= 0) {
                 return i;
@@ -107,7 +96,7 @@
         while (System.nanoTime() - began < patience.toNanos()) {
             Set<String> leaders = new java.util.HashSet<>();
             boolean each = true;
-            for (int i : all()) {
+            for (int i : fleet.all()) {
                 if (fleet.runs(i)) {
                     JsonNode budget = budget(i);
                     each &= budget != null && budget.path("share").asLong() > 0;
@@ -155,28 +144,28 @@
                 for (int part = 0; part < parts; part++) {
                     sides.add(new java.util.HashSet<>());
                 }
-                all().forEach(i -> sides.get((i + one) % parts).add(i));
+                fleet.all().forEach(i -> sides.get((i + one) % parts).add(i));
                 fleet.on(links -> links.partition(sides));
                 Thread.sleep(2 * lease + chance.nextInt(2 * lease));
                 fleet.on(Links::heal);
             }
             case SLOW_LEADER -> {
-                fleet.on(links -> all().stream().filter(i -> i != leader).forEach(i -> links.both(leader, i,
+                fleet.on(links -> fleet.all().stream().filter(i -> i != leader).forEach(i -> links.both(leader, i,
                         Links.Fault.delayed(Duration.ofMillis(lease / 4), Duration.ofMillis(lease / 2)))));
                 Thread.sleep(3 * lease);
                 fleet.on(Links::heal);
             }
             case LOSSY -> {
-                fleet.on(links -> all().forEach(i -> all().stream().filter(k -> k != i).forEach(k -> links.set(i, k,
+                fleet.on(links -> fleet.all().forEach(i -> fleet.all().stream().filter(k -> k != i).forEach(k -> links.set(i, k,
                         new Links.Fault(0.33, 0.33, Duration.ofMillis(5), Duration.ofMillis(100), 0, false)))));
                 Thread.sleep(3 * lease);
                 fleet.on(Links::heal);
             }
             case POWER -> {
-                for (int i : all()) {
+                for (int i : fleet.all()) {
                     fleet.powerOff(i);
                 }
-                for (int i : all()) {
+                for (int i : fleet.all()) {
                     fleet.start(i);
                 }
             }
@@ -200,7 +189,7 @@
             breaches.addAll(shares.subList(before[1], shares.size()));
         });
         if (divided == null) {
-            for (int i : all()) {
+            for (int i : fleet.all()) {
                 breaches.add("not divided anew after " + patience.toMillis() + " ms: " + fleet.name(i) + " tells " + budget(i));
             }
         }
--- a/src/main/java/merlinlever/faults/PowerLoss.java
+++ b/src/main/java/merlinlever/faults/PowerLoss.java
@@ -84,21 +84,10 @@
         this.log = log;
     }
 
-    private List<Integer> all() {
-        List<Integer> all = new ArrayList<>();
-        for (int i = 0; i < fleet.count(); i++) {
-            all.add(i);
-        }
-        return all;
-    }
-
     /** Starts all, and their callers; returns when both kinds of work are served everywhere. */
     public void begin() throws IOException, InterruptedException {
-        for (int i : all()) {
-            fleet.start(i);
-        }
-        fleet.on(none -> all().forEach(i -> fleet.callers(i).begin()));
-        Duration[] at = served(all(), fleet.now(), new ArrayList<>());
+        fleet.startAll();
+        Duration[] at = served(fleet.all(), fleet.now(), new ArrayList<>());
         if (at[1] == null) {
             throw new IOException("the fleet does not serve within " + patience.toMillis() + " ms of its start; see the logs");
         }
@@ -110,17 +99,17 @@
         List<String> breaches = new ArrayList<>();
         int[] before = new int[1];
         fleet.on(none -> before[0] = fleet.rules().breaches().size());
-        for (int i : all()) {
+        for (int i : fleet.all()) {
             if (!fleet.runs(i)) {
                 fleet.start(i);
             }
         }
         Thread.sleep(300 + chance.nextInt(900));
-        List<Integer> order = all();
+        List<Integer> order = fleet.all();
         Collections.shuffle(order, new Random(seed));
         if (kind == Kind.SLOW_LINK) {
             int spared = order.remove(0);
-            fleet.on(links -> all().stream().filter(i -> i != spared).forEach(i -> links.both(spared, i,
+            fleet.on(links -> fleet.all().stream().filter(i -> i != spared).forEach(i -> links.both(spared, i,
                     Links.Fault.delayed(Duration.ofMillis(400), Duration.ofMillis(200)))));
         }
         lose(order, kind == Kind.LAST_FIRST, chance);
@@ -156,12 +145,12 @@
     /** After the last: no new operations, and those in hand come to their end; what the audit found since is returned. */
     public List<String> end() throws InterruptedException {
         List<String> found = new ArrayList<>();
-        fleet.on(none -> all().forEach(i -> fleet.callers(i).end()));
+        fleet.on(none -> fleet.all().forEach(i -> fleet.callers(i).end()));
         long until = System.nanoTime() + Duration.ofSeconds(10).toNanos();
         int[] open = {1};
         while (open[0] > 0 && System.nanoTime() < until) {
             Thread.sleep(LOOK.toMillis());
-            fleet.on(none -> open[0] = all().stream().mapToInt(i -> fleet.callers(i).open()).sum());
+            fleet.on(none -> open[0] = fleet.all().stream().mapToInt(i -> fleet.callers(i).open()).sum());
         }
         fleet.on(none -> found.addAll(fleet.rules().breaches()));
         if (open[0] > 0) {
@@ -261,7 +250,7 @@
     /** What a log line of each start says about the incarnation: it has to grow with each life of one backend. */
     public List<String> incarnations() throws IOException {
         List<String> breaches = new ArrayList<>();
-        for (int i : all()) {
+        for (int i : fleet.all()) {
             long last = 0;
             Set<Long> seen = new HashSet<>();
             for (String line : Files.readAllLines(fleet.processes().log(fleet.name(i)), StandardCharsets.UTF_8)) {
--- a/src/main/java/merlinlever/faults/ServeFleet.java
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -187,6 +187,23 @@
         return stated.count();
     }
 
+    /** The numbers of all backends, in a list of its own. */
+    public List<Integer> all() {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < count(); i++) {
+            all.add(i);
+        }
+        return all;
+    }
+
+    /** Starts every backend, and then its callers. */
+    public void startAll() throws IOException, InterruptedException {
+        for (int i : all()) {
+            start(i);
+        }
+        on(none -> callers.forEach(Callers::begin));
+    }
+
     public Stated stated() {
         return stated;
     }
--- a/src/main/java/merlinlever/measure/BudgetMeasure.java
+++ b/src/main/java/merlinlever/measure/BudgetMeasure.java
@@ -4,10 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.stream.Stream;
 import merlinlever.budgets.Budget;
 import merlinlever.faults.AgentFleet;
 import merlinlever.faults.BudgetFaults;
@@ -127,11 +125,7 @@
                     table.row(kind.word(), perSecond ? "a second" : "at once", whole.whole(), counts[0], outcome.dividedAfter().toMillis(), outcome.breaches().size());
                 }
             } finally {
-                try (Stream<Path> all = Files.walk(folder)) {
-                    for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                        Files.delete(path);
-                    }
-                }
+                Scratch.remove(folder);
             }
         }
         return table;
--- a/src/main/java/merlinlever/measure/RecoveryMeasure.java
+++ b/src/main/java/merlinlever/measure/RecoveryMeasure.java
@@ -5,10 +5,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
-import java.util.stream.Stream;
 import merlinlever.faults.AgentFleet;
 import merlinlever.faults.PowerLoss;
 import merlinlever.faults.ServeFleet;
@@ -77,11 +75,7 @@
             long twice = breaches.stream().filter(breach -> breach.startsWith("effect twice")).count();
             return new Came(middle(first), middle(full), counts[1] / tries, counts[3] / tries, twice, fleet.rules().breached(), thrownAway(fleet));
         } finally {
-            try (Stream<Path> all = Files.walk(folder)) {
-                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(path);
-                }
-            }
+            Scratch.remove(folder);
         }
     }
 
--- a/src/main/java/merlinlever/recovery/Return.java
+++ b/src/main/java/merlinlever/recovery/Return.java
@@ -30,7 +30,7 @@
      * What is stated.
      *
      * @param patience for answers, after which those that came have to do
-     * @param spread the first questions and launches are spread over so long, by chance
+     * @param spread the first questions are spread over so long, by chance
      * @param askAgain after which an unanswered question is put again; doubled each time up to the longest
      * @param window in which a repeat of keyed work may come
      * @param mostAsked others that are asked, at the most
@@ -262,12 +262,6 @@
         return verdict.capacity() > 0 ? verdict.weight() : capacity() > 0 ? 2 : 0;
     }
 
-    /** When the n-th of so many things that could all begin now is begun: spread by chance, so that nothing comes as a herd. */
-    public Duration spread(int n, int of) {
-        Duration part = stated.spread.dividedBy(Math.max(1, of));
-        return part.multipliedBy(n).plus(drawn(part));
-    }
-
     private Duration drawn(Duration within) {
         return Duration.ofNanos(chance.nextLong(within.toNanos() + 1));
     }
