--- /dev/null
+++ b/src/main/java/merlinlever/shared/Common.java
@@ -0,0 +1,36 @@
+package merlinlever.shared;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** What the backends of a fleet know in common, as one of them holds it now; what is put here reaches the others in time. */
+public interface Common {
+
+    /** One value under two digests of the same owner, topic, incarnation and sequence: neither is taken, both owners are told. */
+    record Clash(String owner, String topic, long incarnation, long sequence, String one, String other) {
+    }
+
+    /** Hears of what came anew from elsewhere. */
+    interface Hearer {
+        void came(Duration now, Snapshot snapshot);
+    }
+
+    /** This backend's own word on the topic, in place of its last; false where there is no room for it. */
+    boolean put(Duration now, String topic, byte[] value);
+
+    /** Takes this backend's word back. */
+    void remove(Duration now, String topic);
+
+    /** Passes on what another owner said outside (a partner site), under the owner's own version; false where it is not newer or clashes. */
+    boolean pass(Duration now, Snapshot snapshot);
+
+    Optional<Snapshot> of(String owner, String topic);
+
+    /** Of all owners, in the order of their names; what was taken back is not among it. */
+    List<Snapshot> all(String topic);
+
+    List<Clash> clashes();
+
+    void hears(Hearer hearer);
+}
