--- /dev/null
+++ b/src/main/java/merlinlever/faults/timeline/Play.java
@@ -0,0 +1,376 @@
+package merlinlever.faults.timeline;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import merlinlever.faults.link.Links;
+
+/**
+ * A few nodes of decisions alone on a network and clocks of the play's own, with faults at stated moments; what passes
+ * becomes a timeline. Exact: the same nodes, seed and faults are always the same play.
+ *
+ * <p>A message is drawn as {@link Show} says: most of them matter only where hearing them changed what the hearer believes.
+ *
+ * @param <M> what nodes say to each other
+ */
+public final class Play<M> {
+
+    /** Something that is to be said to another. */
+    public record Out<M>(String to, M message) {
+    }
+
+    /** One that decides, without input and output; times are since it began. */
+    public interface Node<M> {
+        /** What it says now; asked for each step. */
+        List<Out<M>> look(Duration now);
+
+        /** It hears that; returns what it says to it. */
+        List<Out<M>> heard(Duration now, String from, M message);
+
+        /** What it believes, in words, by what it is about; in the order in which it is drawn. */
+        Map<String, String> believes(Duration now);
+    }
+
+    /**
+     * One that begins.
+     *
+     * @param life from 1, counted up with each start
+     * @param notes what it decides, in words, beside what it believes
+     */
+    public record Born(String node, int life, Duration now, SplittableRandom chance, Consumer<String> notes) {
+    }
+
+    /** Makes a node where one begins. */
+    public interface Birth<M> {
+        Node<M> born(Born born);
+    }
+
+    /** When a message is drawn, where it was said and where it was heard. */
+    public enum Show { NEVER, EFFECT, EFFECT_OR_LOST, ALWAYS }
+
+    /** How messages are drawn. */
+    public interface Words<M> {
+        String of(M message);
+
+        Show show(M message);
+    }
+
+    /** Messages on their way at the most. */
+    private static final int MOST_UNDER_WAY = 20_000;
+    private static final long STEP = 10;
+    private static final Links.Fault USUAL = Links.Fault.delayed(Duration.ofMillis(STEP), Duration.ZERO);
+
+    /** What may be drawn: it is known later whether it is. */
+    private static final class Draft {
+        final long at;
+        final String node, what;
+        boolean shown;
+
+        Draft(long at, String node, String what, boolean shown) {
+            this.at = at;
+            this.node = node;
+            this.what = what;
+            this.shown = shown;
+        }
+    }
+
+    private record Sent<M>(long at, long order, int from, int to, M message, Draft draft) {
+    }
+
+    private record Fault<M>(long at, Consumer<Play<M>> act) {
+    }
+
+    private static final class Place<M> {
+        Node<M> node;
+        boolean paused;
+        int life;
+        long began;
+        final List<Sent<M>> held = new ArrayList<>();
+        Map<String, String> believed = Map.of();
+    }
+
+    private final List<String> names;
+    private final Birth<M> birth;
+    private final Words<M> words;
+    private final SplittableRandom chance;
+    private final Links links;
+    private final List<Place<M>> places = new ArrayList<>();
+    private final PriorityQueue<Sent<M>> net = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final List<Fault<M>> script = new ArrayList<>();
+    private final Map<Predicate<Play<M>>, Consumer<Play<M>>> when = new LinkedHashMap<>();
+    private final List<Draft> drafts = new ArrayList<>();
+    private long now;
+    private long orders;
+    /** The moment that is drawn as 0. */
+    private long drawn;
+
+    /** @param names one column each, in this order; all begin at 0, but for those that end on {@code '}, which are started by the script */
+    public Play(long seed, List<String> names, Birth<M> birth, Words<M> words) {
+        this.names = List.copyOf(names);
+        this.birth = birth;
+        this.words = words;
+        chance = new SplittableRandom(seed);
+        links = new Links(names.size());
+        names.forEach(name -> places.add(new Place<>()));
+        heal(null);
+    }
+
+    // ---- the script
+
+    /** It is done at that moment, before anything else then. */
+    public Play<M> at(long ms, Consumer<Play<M>> act) {
+        script.add(new Fault<>(ms, act));
+        return this;
+    }
+
+    /** It is done once, as soon as that is so. */
+    public Play<M> when(Predicate<Play<M>> so, Consumer<Play<M>> act) {
+        when.put(so, act);
+        return this;
+    }
+
+    public long now() {
+        return now;
+    }
+
+    /** The node now, or null where it is down. */
+    public Node<M> node(String name) {
+        return place(name).node;
+    }
+
+    /** Its own steady clock now. */
+    public Duration clock(String name) {
+        return Duration.ofMillis(now - place(name).began);
+    }
+
+    public List<String> names() {
+        return names;
+    }
+
+    private Place<M> place(String name) {
+        int i = names.indexOf(name);
+        if (i < 0) {
+            throw new IllegalArgumentException("no node " + name);
+        }
+        return places.get(i);
+    }
+
+    public void start(String name) {
+        Place<M> place = place(name);
+        place.life++;
+        place.began = now;
+        place.paused = false;
+        place.held.clear();
+        note(name, place.life == 1 ? Event.STARTED : Event.STARTED + " again");
+        place.node = birth.born(new Born(name, place.life, Duration.ZERO, chance.split(), told -> note(name, "* " + told)));
+        place.believed = Map.of();
+    }
+
+    public void kill(String name) {
+        place(name).node = null;
+        place(name).held.clear();
+        note(name, Event.KILLED);
+    }
+
+    public void pause(String name) {
+        place(name).paused = true;
+        note(name, Event.PAUSED);
+    }
+
+    /** What came meanwhile is read now. */
+    public void resume(String name) {
+        Place<M> place = place(name);
+        place.paused = false;
+        note(name, Event.RESUMED);
+        net.addAll(place.held);
+        place.held.clear();
+    }
+
+    /** Its steady clock goes on from later. */
+    public void jump(String name, long ms) {
+        place(name).began -= ms;
+        note(name, "! its clock jumps by " + ms + " ms");
+    }
+
+    /** One way. */
+    public void link(String from, String to, Links.Fault fault, String told) {
+        links.set(names.indexOf(from), names.indexOf(to), fault);
+        all(told);
+    }
+
+    /** One way: nothing comes through. */
+    public void cut(String from, String to) {
+        link(from, to, Links.Fault.CUT, "nothing from " + from + " reaches " + to);
+    }
+
+    @SafeVarargs
+    public final void partition(List<String>... sides) {
+        links.partition(java.util.Arrays.stream(sides).map(side -> (Set<Integer>) new LinkedHashSet<>(side.stream().map(names::indexOf).toList())).toList());
+        all("parted: " + String.join(" | ", java.util.Arrays.stream(sides).map(side -> String.join(" ", side)).toList()));
+    }
+
+    /** Every link loses that share. */
+    public void lose(double share) {
+        each(new Links.Fault(share, 0, Duration.ofMillis(STEP), Duration.ZERO, 0, false));
+        all("every link loses " + Math.round(100 * share) + " % of what is said");
+    }
+
+    /** Every link is slow. */
+    public void delay(long ms) {
+        each(Links.Fault.delayed(Duration.ofMillis(ms), Duration.ZERO));
+        all("every link takes " + ms + " ms");
+    }
+
+    private void each(Links.Fault fault) {
+        for (int i = 0; i < names.size(); i++) {
+            for (int k = 0; k < names.size(); k++) {
+                links.set(i, k, fault);
+            }
+        }
+    }
+
+    public void heal() {
+        heal("all links are well");
+    }
+
+    private void heal(String told) {
+        each(USUAL);
+        if (told != null) {
+            all(told);
+        }
+    }
+
+    /** Drawn across all columns. */
+    public void all(String told) {
+        drafts.add(new Draft(now, "", told, true));
+    }
+
+    public void note(String name, String what) {
+        drafts.add(new Draft(now, name, what, true));
+    }
+
+    // ---- the play
+
+    /** Plays until then, on from where it was. */
+    public Play<M> until(long ms) {
+        while (now < ms) {
+            if (now == 0) {
+                for (String name : names) {
+                    if (place(name).life == 0 && !name.endsWith("'")) {
+                        start(name);
+                    }
+                }
+            }
+            for (Fault<M> fault : List.copyOf(script)) {
+                if (fault.at <= now) {
+                    script.remove(fault);
+                    fault.act.accept(this);
+                }
+            }
+            while (!net.isEmpty() && net.peek().at <= now) {
+                arrive(net.poll());
+            }
+            for (int i = 0; i < places.size(); i++) {
+                Place<M> place = places.get(i);
+                if (place.node != null && !place.paused) {
+                    List<Out<M>> said = place.node.look(clock(names.get(i)));
+                    believes(i);
+                    send(i, said);
+                }
+            }
+            for (Map.Entry<Predicate<Play<M>>, Consumer<Play<M>>> entry : List.copyOf(when.entrySet())) {
+                if (entry.getKey().test(this)) {
+                    when.remove(entry.getKey());
+                    entry.getValue().accept(this);
+                }
+            }
+            now += STEP;
+        }
+        return this;
+    }
+
+    private void arrive(Sent<M> sent) {
+        Place<M> to = places.get(sent.to);
+        Show show = words.show(sent.message);
+        if (to.node == null) {
+            sent.draft.shown |= show == Show.EFFECT_OR_LOST;
+            return;
+        }
+        if (to.paused) {
+            sent.draft.shown |= show == Show.EFFECT_OR_LOST;
+            to.held.add(sent);
+            return;
+        }
+        Draft heard = new Draft(now, names.get(sent.to), "< " + names.get(sent.from) + ": " + words.of(sent.message), show == Show.ALWAYS);
+        drafts.add(heard);
+        int before = drafts.size();
+        List<Out<M>> said = to.node.heard(clock(names.get(sent.to)), names.get(sent.from), sent.message);
+        believes(sent.to);
+        if (show != Show.NEVER && drafts.size() > before) {
+            heard.shown = true;
+            sent.draft.shown = true;
+        }
+        send(sent.to, said);
+    }
+
+    /** What changed of what it believes is drawn together. */
+    private void believes(int i) {
+        Place<M> place = places.get(i);
+        Map<String, String> believed = new LinkedHashMap<>(place.node.believes(clock(names.get(i))));
+        List<String> changed = new ArrayList<>();
+        believed.forEach((about, what) -> {
+            if (!what.equals(place.believed.get(about))) {
+                changed.add(what);
+            }
+        });
+        place.believed.keySet().stream().filter(about -> !believed.containsKey(about)).forEach(about -> changed.add("no more of " + about));
+        place.believed = believed;
+        if (!changed.isEmpty()) {
+            note(names.get(i), "* " + String.join(", ", changed));
+        }
+    }
+
+    private void send(int from, List<Out<M>> said) {
+        for (Out<M> out : said) {
+            int to = names.indexOf(out.to);
+            if (to < 0 || net.size() >= MOST_UNDER_WAY) {
+                throw new IllegalStateException(to < 0 ? "nobody is at " + out.to : "too much is under way");
+            }
+            Show show = words.show(out.message);
+            List<Duration> times = links.datagram(Duration.ofMillis(now), from, to, 100, chance);
+            boolean lost = times.isEmpty();
+            boolean gone = places.get(to).node == null;
+            Draft draft = new Draft(now, names.get(from), (lost || gone ? "x " : "> ") + out.to + ": " + words.of(out.message),
+                    show == Show.ALWAYS || lost && show == Show.EFFECT_OR_LOST);
+            drafts.add(draft);
+            times.forEach(at -> net.add(new Sent<>(Math.max(now + 1, at.toMillis()), orders++, from, to, out.message, draft)));
+        }
+    }
+
+    /** What was before is left out, but for what each believes now; times count from here. */
+    public Play<M> begin() {
+        drafts.clear();
+        for (int i = 0; i < places.size(); i++) {
+            Place<M> place = places.get(i);
+            if (place.node != null && !place.believed.isEmpty()) {
+                note(names.get(i), "* " + String.join(", ", place.believed.values()));
+            }
+        }
+        drawn = now;
+        return this;
+    }
+
+    public Timeline timeline(String title) {
+        Timeline timeline = new Timeline(title, names);
+        drafts.stream().filter(draft -> draft.shown).forEach(draft -> timeline.add(Duration.ofMillis(draft.at - drawn), draft.node, draft.what));
+        return timeline;
+    }
+}
