--- a/src/main/java/merlinlever/budgets/net/Budgets.java
+++ b/src/main/java/merlinlever/budgets/net/Budgets.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import merlinlever.budgets.Budget;
@@ -13,6 +14,7 @@
 /** One backend's part in the division of all budgets, on the loop and membership's datagrams. */
 public final class Budgets implements Members.Hearer {
 
+    private static final Set<String> WORDS = Set.of("V", "P", "N", "Q", "G", "H");
     private static final Duration LOOK = Duration.ofMillis(20);
 
     private final Loop loop;
@@ -29,7 +31,7 @@
         this.rejoin = rejoin;
         sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, voters, rejoin.term(), rejoin::noted,
                 new SplittableRandom(seed), spender, log);
-        rejoin.members().hears(this);
+        rejoin.members().hears(WORDS, this);
         loop.every(LOOK, () -> say(sharing.look(loop.clock().uptime())));
     }
 
--- a/src/main/java/merlinlever/members/Members.java
+++ b/src/main/java/merlinlever/members/Members.java
@@ -4,8 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,15 +15,19 @@
 public final class Members {
 
     /** The kinds of messages; only asking ones are answered. */
-    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK, RECALL, RECALLED, SAY }
+    public enum Kind { PING, ACK, ASK_FOR, NACK, SYNC, SYNC_BACK, RECALL, RECALLED, SAY, CARRY }
 
     /**
      * One message.
      *
      * @param number of the question; an answer bears that of its question
      * @param about the gossip address that {@code ASK_FOR} is about, what {@code RECALLED} tells or {@code SAY} says, else empty
+     * @param body what {@code CARRY} carries, else null
      */
-    public record Message(Kind kind, String from, long number, String about, List<Views.Rumour> rumours) {
+    public record Message(Kind kind, String from, long number, String about, List<Views.Rumour> rumours, byte[] body) {
+        public Message(Kind kind, String from, long number, String about, List<Views.Rumour> rumours) {
+            this(kind, from, number, about, rumours, null);
+        }
     }
 
     /** What one that comes back asks the others, and what they tell it beside all that they believe. */
@@ -42,6 +44,11 @@
         void said(String name, long number, String what);
     }
 
+    /** Takes what others carry to this one, beside membership. */
+    public interface Carried {
+        void carried(String name, byte[] body);
+    }
+
     /** A message and where it goes. */
     public record Sending(String to, Message message) {
     }
@@ -60,13 +67,10 @@
         }
     }
 
-    /** Rumours on one message, and members known, at the most. */
-    private static final int MOST_RUMOURS = 12;
+    /** Members known, and octets carried in one message, at the most. */
     public static final int MOST = 2000;
-    private static final int SUSPICION = 4;
-    private static final int SUSPICION_MOST = 6;
+    public static final int MOST_CARRIED = 48 << 10;
     private static final int HEALTH_MOST = 8;
-    private static final int TELL = 3;
     /** A whole exchange with one other, a dead one too: so two halves of a network find each other again. */
     private static final int SYNC_PERIODS = 10;
     private static final Duration FORGET = Duration.ofHours(24);
@@ -89,35 +93,26 @@
     private record Relayed(String to, long number, Duration nackAt, Duration until) {
     }
 
-    private static final class Suspicion {
-        final Duration since;
-        final Set<String> by = new HashSet<>();
-
-        Suspicion(Duration since) {
-            this.since = since;
-        }
-    }
-
     private final Stated stated;
     private final Views views;
     private final SplittableRandom chance;
     private final Consumer<String> log;
-    private final Map<String, Integer> telling = new LinkedHashMap<>();
+    private final Rumours rumours;
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
     private final Map<Long, Relayed> relayed = new LinkedHashMap<>();
-    private final Map<String, Suspicion> suspicions = new LinkedHashMap<>();
-    private final Map<String, Duration> changedAt = new HashMap<>();
+    private final Suspicions suspicions = new Suspicions();
     private final ArrayDeque<String> round = new ArrayDeque<>();
     private List<Sending> out = new ArrayList<>();
     private Duration nextPeriod;
     private Recall recall;
-    private Hearer hearer;
+    private final Beside beside = new Beside();
     private long numbers;
     private long periods;
     private int health;
 
     public Members(Duration now, Views views, Stated stated, SplittableRandom chance, Consumer<String> log) {
         this.views = views;
+        rumours = new Rumours(views);
         this.stated = stated;
         this.chance = chance;
         this.log = log;
@@ -135,9 +130,25 @@
         recall = with;
     }
 
-    /** From here on it hears what others say to this one. */
-    public void hears(Hearer who) {
-        hearer = who;
+    /** From here on it hears what others say to this one, where that begins with one of these words and a slash. */
+    public void hears(Set<String> words, Hearer who) {
+        beside.hears(words, who);
+    }
+
+    /** From here on it takes what others carry to this one; each takes what it understands. */
+    public void takes(Carried who) {
+        beside.takes(who);
+    }
+
+    /** Carries octets to another, {@link #MOST_CARRIED} at the most; lost where it is not known. */
+    public void carry(String name, byte[] body) {
+        if (body.length > MOST_CARRIED) {
+            throw new IllegalArgumentException(body.length + " octets to carry");
+        }
+        Views.Rumour known = views.of(name);
+        if (known != null) {
+            out.add(new Sending(known.gossip(), new Message(Kind.CARRY, views.self(), 0, "", List.of(), body)));
+        }
     }
 
     /** Says something to another, 120 printable octets without spaces at the most; lost where it is not known. */
@@ -160,31 +171,24 @@
 
     /** How long ago what is believed of the agent last changed. */
     public Duration changedAgo(Duration now, String name) {
-        Duration at = changedAt.get(name);
-        return at == null ? Duration.ZERO : now.minus(at);
+        return rumours.changedAgo(now, name);
     }
 
     private int others() {
         return views.size() - 1;
     }
 
-    private int logarithm() {
-        return Math.max(1, (int) Math.ceil(Math.log(others() + 2) / Math.log(2)));
-    }
-
     // ---- rumours
 
     private void tell(Duration now, Views.Rumour rumour) {
         if (rumour == null) {
             return;
         }
-        telling.remove(rumour.name());
-        telling.put(rumour.name(), 0);
-        changedAt.put(rumour.name(), now);
+        rumours.begin(now, rumour.name());
         if (rumour.status() == Views.Status.SUSPECT) {
-            suspicions.computeIfAbsent(rumour.name(), name -> new Suspicion(now));
+            suspicions.begin(now, rumour.name());
         } else {
-            suspicions.remove(rumour.name());
+            suspicions.end(rumour.name());
         }
         if (!rumour.name().equals(views.self())) {
             log.accept("agent " + rumour.name() + " is " + rumour.status().name().toLowerCase(java.util.Locale.ROOT) + ", incarnation " + rumour.incarnation());
@@ -193,22 +197,8 @@
         }
     }
 
-    /** Those told least often first. */
-    private List<Views.Rumour> rumours() {
-        List<String> names = new ArrayList<>(telling.keySet());
-        names.sort((a, b) -> Integer.compare(telling.get(a), telling.get(b)));
-        List<Views.Rumour> rumours = new ArrayList<>();
-        for (String name : names.subList(0, Math.min(MOST_RUMOURS, names.size()))) {
-            rumours.add(views.of(name));
-            if (telling.merge(name, 1, Integer::sum) >= TELL * logarithm()) {
-                telling.remove(name);
-            }
-        }
-        return rumours;
-    }
-
     private void send(String to, Kind kind, long number, String about) {
-        List<Views.Rumour> with = kind == Kind.SYNC || kind == Kind.SYNC_BACK || kind == Kind.RECALLED ? views.all() : rumours();
+        List<Views.Rumour> with = kind == Kind.SYNC || kind == Kind.SYNC_BACK || kind == Kind.RECALLED ? views.all() : rumours.next();
         out.add(new Sending(to, new Message(kind, views.self(), number, about, with)));
     }
 
@@ -223,10 +213,8 @@
             if (views.of(rumour.name()) == null && views.size() >= MOST) {
                 continue;
             }
-            Suspicion suspicion = suspicions.get(rumour.name());
-            if (suspicion != null && rumour.status() == Views.Status.SUSPECT) {
-                // Independent word of the same makes it surer (Lifeguard section IV-B).
-                suspicion.by.add(message.from);
+            if (rumour.status() == Views.Status.SUSPECT) {
+                suspicions.alsoBy(rumour.name(), message.from);
             }
             tell(now, views.heard(rumour));
         }
@@ -264,11 +252,7 @@
                     recall.told(message.from, message.number, message.about);
                 }
             }
-            case SAY -> {
-                if (hearer != null) {
-                    hearer.said(message.from, message.number, message.about);
-                }
-            }
+            case SAY, CARRY -> beside.came(message);
             default -> { }
         }
     }
@@ -330,11 +314,9 @@
                 relayed.remove(entry.getKey());
             }
         }
-        for (Map.Entry<String, Suspicion> entry : List.copyOf(suspicions.entrySet())) {
-            if (now.minus(entry.getValue().since).compareTo(patience(entry.getValue())) >= 0) {
-                tell(now, views.dead(entry.getKey()));
-                suspicions.remove(entry.getKey());
-            }
+        for (String name : suspicions.over(now, others(), stated.period)) {
+            tell(now, views.dead(name));
+            suspicions.end(name);
         }
         List<Sending> sendings = out;
         out = new ArrayList<>();
@@ -346,15 +328,6 @@
         tell(now, rumour);
     }
 
-    /** From the longest towards the shortest as others say the same. */
-    private Duration patience(Suspicion suspicion) {
-        double shortest = SUSPICION * Math.max(1, Math.log10(Math.max(1, others()))) * stated.period.toNanos();
-        double longest = SUSPICION_MOST * shortest;
-        int wanted = Math.max(1, Math.min(3, others() - 2));
-        double share = Math.log(suspicion.by.size() + 1) / Math.log(wanted + 1);
-        return Duration.ofNanos((long) Math.max(shortest, longest - (longest - shortest) * Math.min(1, share)));
-    }
-
     private void help(long number, Asked one) {
         Views.Rumour target = views.of(one.name);
         int helpers = 0;
@@ -376,8 +349,7 @@
             boolean gone = each.status() == Views.Status.DEAD || each.status() == Views.Status.LEFT;
             if (gone && !each.name().equals(views.self()) && changedAgo(now, each.name()).compareTo(FORGET) > 0) {
                 views.forget(each.name());
-                telling.remove(each.name());
-                changedAt.remove(each.name());
+                rumours.forget(each.name());
             }
         }
         String next = next();
--- a/src/main/java/merlinlever/members/Wire.java
+++ b/src/main/java/merlinlever/members/Wire.java
@@ -13,7 +13,8 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * Messages as octets: two octets of mark, the version, the kind, sender, number, what it is about, rumours, and 16 octets
+ * Messages as octets: two octets of mark, the version, the kind, sender, number, what it is about, rumours,
+ * what is carried (its length and the octets), and 16 octets
  * of HMAC-SHA-256 over all before them. Of another version, forged or malformed, it is nothing; a copy of an old one says
  * only what is known already, as beliefs move forward alone.
  */
@@ -69,6 +70,9 @@
             count++;
         }
         out.putShort(countAt, (short) count);
+        if (message.kind() == Members.Kind.CARRY) {
+            out.putInt(message.body().length).put(message.body());
+        }
         byte[] octets = Arrays.copyOf(out.array(), out.position() + MAC);
         System.arraycopy(mac(octets, out.position()), 0, octets, out.position(), MAC);
         return octets;
@@ -112,7 +116,15 @@
                 String api = text(in);
                 rumours.add(new Views.Rumour(name, gossip, api, Views.Status.values()[in.get()], in.getLong()));
             }
-            return in.hasRemaining() || from.isEmpty() ? null : new Members.Message(kind, from, number, about, rumours);
+            byte[] body = null;
+            if (kind == Members.Kind.CARRY) {
+                int length = in.getInt();
+                if (length < 0 || length > in.remaining()) {
+                    return null;
+                }
+                in.get(body = new byte[length]);
+            }
+            return in.hasRemaining() || from.isEmpty() ? null : new Members.Message(kind, from, number, about, rumours, body);
         } catch (BufferUnderflowException | IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
             return null;
         }
--- a/src/test/java/merlinlever/members/MembersTest.java
+++ b/src/test/java/merlinlever/members/MembersTest.java
@@ -197,6 +197,33 @@
         assertNotNull(wire.read(large));
     }
 
+    @Test
+    void whatIsCarriedAndSaidReachesThoseThatHearItAndNobodyElse() {
+        Wire wire = new Wire("0123456789abcdef".getBytes());
+        Members.Stated stated = Members.Stated.usual(List.of("127.0.0.1:2"));
+        Members one = new Members(Duration.ZERO, new Views("n1", "127.0.0.1:1", "-", 1), stated, new SplittableRandom(1), line -> { });
+        Members two = new Members(Duration.ZERO, new Views("n2", "127.0.0.1:2", "-", 1), stated, new SplittableRandom(2), line -> { });
+        List<String> heard = new ArrayList<>();
+        two.hears(java.util.Set.of("A"), (name, number, what) -> heard.add(name + " " + number + " " + what));
+        two.hears(java.util.Set.of("B"), (name, number, what) -> heard.add("B " + what));
+        two.takes((name, body) -> heard.add(name + " carries " + body.length + " " + body[body.length - 1]));
+        one.heard(Duration.ZERO, "127.0.0.1:2", new Members.Message(Members.Kind.SYNC_BACK, "n2", 0, "", two.views().all()));
+        byte[] body = new byte[Members.MOST_CARRIED];
+        body[body.length - 1] = 7;
+        one.carry("n2", body);
+        one.carry("nobody", body);
+        one.say("n2", 5, "A/x");
+        one.say("n2", 6, "B");
+        one.say("n2", 7, "C/nobody-hears-this");
+        for (Members.Sending sending : one.settle(Duration.ofMillis(1))) {
+            two.heard(Duration.ofMillis(2), "127.0.0.1:1", wire.read(wire.write(sending.message())));
+        }
+        assertEquals(List.of("n1 carries " + body.length + " 7", "n1 5 A/x", "B B"), heard);
+        byte[] cut = wire.write(new Members.Message(Members.Kind.CARRY, "n1", 0, "", List.of(), new byte[100]));
+        byte[] inner = Arrays.copyOf(cut, cut.length - 16 - 40);
+        assertNull(wire.read(signed(inner)), "carried in part");
+    }
+
     private static byte[] signed(byte[] inner) {
         try {
             javax.crypto.Mac mac = javax.crypto.Mac.getInstance("HmacSHA256");
