--- a/src/main/java/merlinlever/budgets/Budget.java
+++ b/src/main/java/merlinlever/budgets/Budget.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import merlinlever.term.Drift;
 
 /**
  * One limit of the whole fleet, as it is stated.
@@ -28,12 +29,12 @@
 
     /** What was given by a clock that runs fast is out for so long by any other. */
     public static Duration slowest(Duration span, double drift) {
-        return Duration.ofNanos((long) (span.toNanos() * (1 + drift)));
+        return Drift.slowest(span, drift);
     }
 
     /** What may be counted on for the span by a clock that runs slow. */
     public static Duration surest(Duration span, double drift) {
-        return Duration.ofNanos((long) (span.toNanos() * (1 - drift)));
+        return Drift.surest(span, drift);
     }
 
     /**
--- a/src/main/java/merlinlever/budgets/Sharing.java
+++ b/src/main/java/merlinlever/budgets/Sharing.java
@@ -3,17 +3,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.function.LongPredicate;
+import merlinlever.term.Leadership;
+import merlinlever.term.Terms;
 
 /**
- * One backend's part in the division of all budgets: votes and may lead where it is a voter, asks whoever leads for its
- * shares, and tells the spender what it may spend until when. What it says to itself does not leave the process. Decisions alone.
+ * One backend's part in the division of all budgets: divides where it leads, asks whoever leads for its shares, and tells
+ * the spender what it may spend until when. What it says to itself does not leave the process. Decisions alone.
  *
- * <p>Words, each with its number: {@code V/term} asks for a promise, {@code P/term} gives it, {@code N/term} names a higher
- * one; {@code Q/term/budget/life/grant/held/inUse/wanted} asks for a share, {@code G/term/budget/grant/amount} grants it,
- * {@code H/term/leader} says who leads.
+ * <p>Words, each with its number: {@code Q/term/budget/life/grant/held/inUse/wanted} asks for a share, {@code
+ * G/term/budget/grant/amount} grants it; who leads is told by a word of {@link Terms}.
  */
 public final class Sharing {
 
@@ -29,14 +30,9 @@
     /** Beyond what is used, so much of it is asked for as well, and one: or nobody who has little could show that it wants more. */
     private static final int MORE = 4;
 
-    /** Something to be said to another. */
-    public record Say(String to, long number, String what) {
-    }
-
-    private record Pending(String asker, long term, long number) {
-    }
+    /** First parts of the words that {@link #said} takes. */
+    public static final Set<String> WORDS = Set.of("Q", "G");
 
-    private final LongPredicate noted;
     private final String self;
     private final long life;
     private final List<Budget> budgets;
@@ -44,32 +40,27 @@
     private final Duration[] nextAsk;
     private final boolean[] used;
     private final List<Book> books = new ArrayList<>();
-    private final Election election;
+    private final Terms terms;
     private final SplittableRandom chance;
     private final Spender spender;
     private final Consumer<String> log;
     private long bookTerm = -1;
     private Duration nextTurn = Duration.ZERO;
-    private final List<Say> out = new ArrayList<>();
-    private Pending pending;
-    private String lastLeader = "";
+    private final List<Terms.Say> out = new ArrayList<>();
 
     /**
      * @param life a number that no other life of this backend has
-     * @param voters who may lead; the same everywhere
-     * @param term the highest that is on the disk
-     * @param noted asks for a term on the disk; true once it is there
+     * @param terms who leads; looked at and told by its owner, before this one is looked at
      */
-    public Sharing(Duration now, String self, long life, List<Budget> budgets, List<String> voters, long term, LongPredicate noted,
-            SplittableRandom chance, Spender spender, Consumer<String> log) {
+    public Sharing(Duration now, String self, long life, List<Budget> budgets, Terms terms, SplittableRandom chance, Spender spender,
+            Consumer<String> log) {
         this.self = self;
         this.life = life;
         this.budgets = new ArrayList<>(budgets);
-        this.noted = noted;
+        this.terms = terms;
         this.chance = chance;
         this.spender = spender;
         this.log = log;
-        election = new Election(now, self, voters, budgets.get(0).lease(), budgets.get(0).drift(), term, chance.split());
         nextAsk = new Duration[budgets.size()];
         used = new boolean[budgets.size()];
         for (int i = 0; i < nextAsk.length; i++) {
@@ -96,25 +87,8 @@
     // ---- a look at all
 
     /** What is to be said now; to be asked for every few ms. */
-    public List<Say> look(Duration now) {
-        if (pending != null && noted.test(pending.term)) {
-            Pending is = pending;
-            pending = null;
-            vote(now, is.asker, is.term, is.number);
-        }
-        for (Election.Ask ask : election.settle(now)) {
-            if (ask.to().equals(self)) {
-                vote(now, self, ask.term(), ask.number());
-            } else {
-                say(ask.to(), ask.number(), "V/" + ask.term());
-            }
-        }
-        Election.Leader leader = election.leader(now);
-        String told = leader == null ? "" : leader.name() + ", term " + leader.term();
-        if (!told.equals(lastLeader)) {
-            lastLeader = told;
-            log.accept(told.isEmpty() ? "budgets: nobody is known to divide" : "budgets: divided by " + told);
-        }
+    public List<Terms.Say> look(Duration now) {
+        Leadership.Leader leader = terms.leader(now);
         books(now);
         for (int i = 0; i < budgets.size(); i++) {
             Holding holding = holdings.get(i);
@@ -132,11 +106,11 @@
     }
 
     private void say(String to, long number, String what) {
-        out.add(new Say(to, number, what));
+        out.add(new Terms.Say(to, number, what));
     }
 
-    private List<Say> said() {
-        List<Say> all = List.copyOf(out);
+    private List<Terms.Say> said() {
+        List<Terms.Say> all = List.copyOf(out);
         out.clear();
         return all;
     }
@@ -145,10 +119,10 @@
         return budgets.get(i).lease().dividedBy(4);
     }
 
-    private void ask(Duration now, int i, Election.Leader leader, long[] demand) {
+    private void ask(Duration now, int i, Leadership.Leader leader, long[] demand) {
         if (leader == null) {
             // Any voter may know who leads.
-            String voter = election.voters().get(chance.nextInt(election.voters().size()));
+            String voter = terms.voters().get(chance.nextInt(terms.voters().size()));
             if (!voter.equals(self)) {
                 say(voter, 0, "Q/0/" + budgets.get(i).name() + "/" + Long.toHexString(life) + "/0/0/0/0");
             }
@@ -173,13 +147,13 @@
 
     /** A leadership begins with books that know nothing of the one before. */
     private void books(Duration now) {
-        if (!election.leads(now)) {
+        if (!terms.leads(now)) {
             books.clear();
             bookTerm = -1;
             return;
         }
-        if (bookTerm != election.term()) {
-            bookTerm = election.term();
+        if (bookTerm != terms.term()) {
+            bookTerm = terms.term();
             books.clear();
             budgets.forEach(budget -> books.add(new Book(now, budget)));
             log.accept("budgets: leads, term " + bookTerm);
@@ -192,45 +166,17 @@
 
     // ---- what others say
 
-    private void vote(Duration now, String asker, long term, long number) {
-        if (!election.mayPromise(now, asker, term)) {
-            if (!asker.equals(self)) {
-                say(asker, number, "N/" + election.promised());
-            }
-            return;
-        }
-        if (!noted.test(term)) {
-            // One at a time; whoever is not answered asks again.
-            pending = new Pending(asker, term, number);
-            return;
-        }
-        election.promise(now, asker, term);
-        if (asker.equals(self)) {
-            election.promisedBy(now, self, term, number);
-        } else {
-            say(asker, number, "P/" + term);
-        }
-    }
-
-    /** Another said that; returns what is said to it. */
-    public List<Say> said(Duration now, String name, long number, String what) {
+    /** Another said that, one of {@link #WORDS}; returns what is said to it. */
+    public List<Terms.Say> said(Duration now, String name, long number, String what) {
         String[] part = what.split("/");
         try {
             switch (part[0]) {
-                case "V" -> vote(now, name, Long.parseLong(part[1]), number);
-                case "P" -> election.promisedBy(now, name, Long.parseLong(part[1]), number);
-                case "N" -> election.refused(now, Long.parseLong(part[1]));
-                case "H" -> {
-                    if (election.voters().contains(part[2])) {
-                        election.heardLeader(now, part[2], Long.parseLong(part[1]));
-                    }
-                }
                 case "Q" -> asked(now, name, number, part);
                 case "G" -> {
                     int i = index(part[2]);
                     long term = Long.parseLong(part[1]);
                     if (i >= 0 && holdings.get(i).granted(now, term, number, Long.parseLong(part[3]), Long.parseLong(part[4]))) {
-                        election.heardLeader(now, name, term);
+                        terms.heardLeader(now, name, term);
                     }
                 }
                 default -> log.accept("budgets: " + name + " said what is not understood: " + what);
@@ -251,11 +197,11 @@
     }
 
     private void asked(Duration now, String name, long number, String[] part) {
-        Election.Leader leader = election.leader(now);
+        Leadership.Leader leader = terms.leader(now);
         books(now);
         if (leader == null || books.isEmpty() || Long.parseLong(part[1]) != bookTerm) {
             if (leader != null) {
-                say(name, 0, "H/" + leader.term() + "/" + leader.name());
+                say(name, 0, terms.toldWho(now));
             }
             return;
         }
@@ -276,13 +222,13 @@
     }
 
     public boolean leads(Duration now) {
-        return election.leads(now);
+        return terms.leads(now);
     }
 
     /** Each budget with its share, as a JSON array. */
     public String json(Duration now) {
         StringBuilder text = new StringBuilder("[");
-        Election.Leader leader = election.leader(now);
+        Leadership.Leader leader = terms.leader(now);
         for (int i = 0; i < budgets.size(); i++) {
             Holding holding = holdings.get(i);
             text.append(i == 0 ? "" : ",").append("{\"name\":\"").append(budgets.get(i).name()).append("\",\"whole\":").append(budgets.get(i).whole())
--- a/src/main/java/merlinlever/budgets/net/Budgets.java
+++ b/src/main/java/merlinlever/budgets/net/Budgets.java
@@ -9,6 +9,8 @@
 import merlinlever.members.Members;
 import merlinlever.net.Loop;
 import merlinlever.recovery.net.Rejoin;
+import merlinlever.term.Terms;
+import merlinlever.term.net.Leading;
 
 /** One backend's part in the division of all budgets, on the loop and membership's datagrams. */
 public final class Budgets implements Members.Hearer {
@@ -17,23 +19,22 @@
 
     private final Loop loop;
     private final Rejoin rejoin;
+    private final Leading leading;
     private final Sharing sharing;
 
-    /**
-     * @param voters who may lead; the same everywhere
-     * @param life a number that no other life of this backend has
-     */
-    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, List<String> voters, long life, long seed, Sharing.Spender spender,
+    /** @param life a number that no other life of this backend has */
+    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, Leading leading, long life, long seed, Sharing.Spender spender,
             Consumer<String> log) {
         this.loop = loop;
         this.rejoin = rejoin;
-        sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, voters, rejoin.term(), rejoin::noted,
+        this.leading = leading;
+        sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, leading.terms(),
                 new SplittableRandom(seed), spender, log);
         rejoin.members().hears(this);
         loop.every(LOOK, () -> say(sharing.look(loop.clock().uptime())));
     }
 
-    private void say(List<Sharing.Say> all) {
+    private void say(List<Terms.Say> all) {
         all.forEach(each -> rejoin.members().say(each.to(), each.number(), each.what()));
         if (!all.isEmpty()) {
             rejoin.send();
@@ -41,7 +42,11 @@
     }
 
     @Override public void said(String name, long number, String what) {
-        say(sharing.said(loop.clock().uptime(), name, number, what));
+        if (Terms.WORDS.contains(what.split("/", 2)[0])) {
+            leading.said(name, number, what);
+        } else {
+            say(sharing.said(loop.clock().uptime(), name, number, what));
+        }
     }
 
     /** See {@link Sharing#wholes}. */
--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -21,6 +21,7 @@
 import merlinlever.net.Loop;
 import merlinlever.recovery.Return;
 import merlinlever.recovery.net.Rejoin;
+import merlinlever.term.net.Leading;
 
 /**
  * The return of one backend, where its configuration has {@code recovery}: state on disk, membership with the others.
@@ -81,7 +82,8 @@
         }
         // Who this life is: no other of this backend began in the same millisecond with the same pid.
         long life = System.currentTimeMillis() << 20 ^ ProcessHandle.current().pid();
-        budgets = new Budgets(loop, rejoin, shared, voters, life, seed, this, told);
+        Leading leading = new Leading(loop, rejoin, voters, shared.get(0).lease(), shared.get(0).drift(), seed, told);
+        budgets = new Budgets(loop, rejoin, shared, leading, life, seed, this, told);
     }
 
     /** In which a repeat of keyed work may come, the longest of all tariffs. */
--- a/src/main/java/merlinlever/faults/BudgetModel.java
+++ b/src/main/java/merlinlever/faults/BudgetModel.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import merlinlever.budgets.Budget;
 import merlinlever.budgets.Sharing;
+import merlinlever.term.Terms;
 
 /**
  * Backends that share one limit, on a network and clocks of the model's own: steps of 20 ms, each clock running apart by
@@ -22,6 +23,7 @@
     final int n;
     final List<String> voters = new ArrayList<>();
     public final Sharing[] nodes;
+    final Terms[] terms;
     final double[] rate;
     final long[] offset, noted, pausedUntil, downUntil, life;
     final int[] side;
@@ -38,6 +40,7 @@
         this.n = n;
         this.budget = budget;
         nodes = new Sharing[n];
+        terms = new Terms[n];
         rate = new double[n];
         offset = new long[n];
         noted = new long[n];
@@ -82,10 +85,11 @@
     public void begin(int i) {
         offset[i] = now - chance.nextInt(100_000);
         int who = i;
-        nodes[i] = new Sharing(clock(i), "b" + i, (life[i] = ++lives) << 20, List.of(budget), voters, noted[i], term -> {
+        terms[i] = new Terms(clock(i), "b" + i, voters, budget.lease(), budget.drift(), noted[i], term -> {
             noted[who] = Math.max(noted[who], term);
             return true;
-        }, chance.split(), new Sharing.Spender() {
+        }, chance.split(), line -> { });
+        nodes[i] = new Sharing(clock(i), "b" + i, (life[i] = ++lives) << 20, List.of(budget), terms[i], chance.split(), new Sharing.Spender() {
             @Override public long[] demand(Duration at, Budget of) {
                 return new long[] {0, wanted[who][0]};
             }
@@ -99,8 +103,8 @@
         return now >= downUntil[i] && nodes[i] != null;
     }
 
-    void send(int from, List<Sharing.Say> all) {
-        for (Sharing.Say each : all) {
+    void send(int from, List<Terms.Say> all) {
+        for (Terms.Say each : all) {
             int to = Integer.parseInt(each.to().substring(1));
             // With the head, the sender, the number and the seal of membership's datagrams, without rumours.
             octets += 40 + each.what().length();
@@ -135,11 +139,14 @@
         });
         for (Object[] message : due) {
             int to = (int) message[2];
-            send(to, nodes[to].said(clock(to), "b" + message[1], (long) message[3], (String) message[4]));
+            String what = (String) message[4];
+            send(to, Terms.WORDS.contains(what.split("/")[0]) ? terms[to].said(clock(to), "b" + message[1], (long) message[3], what)
+                    : nodes[to].said(clock(to), "b" + message[1], (long) message[3], what));
         }
         long all = 0;
         for (int i = 0; i < n; i++) {
             if (up(i) && now >= pausedUntil[i]) {
+                send(i, terms[i].look(clock(i)));
                 send(i, nodes[i].look(clock(i)));
             }
             if (up(i)) {
--- a/src/main/java/merlinlever/budgets/Election.java
+++ b/src/main/java/merlinlever/term/Election.java
@@ -1,4 +1,4 @@
-package merlinlever.budgets;
+package merlinlever.term;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.SplittableRandom;
 
 /**
- * Who divides: one leader at a time, by the promises of more than half of the stated voters. A promise holds for a lease
+ * Who leads: one leader at a time, by the promises of more than half of the stated voters. A promise holds for a lease
  * on the voter's own steady clock, so no two leaders can have one at the same time, whatever the Unix clocks say; its term
  * is on the voter's disk before it is given, so terms only go up. A voter that has just started may have promised anything
  * before and waits a whole lease. Times are since the process began.
@@ -54,7 +54,7 @@
         this.chance = chance;
         promised = term;
         heardTerm = term;
-        promisedUntil = now.plus(Budget.slowest(lease, drift));
+        promisedUntil = now.plus(Drift.slowest(lease, drift));
         nextAsk = promisedUntil.plus(drawn());
     }
 
@@ -153,7 +153,7 @@
         Arrays.sort(since);
         // The oldest of the youngest majority.
         Duration oldest = since[since.length - voters.size() / 2 - 1];
-        return oldest.plus(Budget.surest(lease, drift));
+        return oldest.plus(Drift.surest(lease, drift));
     }
 
     public boolean leads(Duration now) {
@@ -175,20 +175,16 @@
         }
     }
 
-    /** Who leads, and under which term. */
-    public record Leader(String name, long term) {
-    }
-
-    /** Whom to ask for a share: who leads as far as this one knows, or null. */
-    public Leader leader(Duration now) {
+    /** Who leads as far as this one knows, or null. */
+    public Leadership.Leader leader(Duration now) {
         if (leads(now)) {
-            return new Leader(self, term);
+            return new Leadership.Leader(self, term);
         }
         boolean holds = promisedTo != null && !promisedTo.equals(self) && now.compareTo(promisedUntil) < 0;
         if (heardLeader != null && now.minus(heardAt).compareTo(lease) < 0 && (!holds || heardLeaderTerm >= promised)) {
-            return new Leader(heardLeader, heardLeaderTerm);
+            return new Leadership.Leader(heardLeader, heardLeaderTerm);
         }
-        return holds ? new Leader(promisedTo, promised) : null;
+        return holds ? new Leadership.Leader(promisedTo, promised) : null;
     }
 
     public List<String> voters() {
