--- a/src/main/java/merlinlever/faults/timeline/MemberNode.java
+++ b/src/main/java/merlinlever/faults/timeline/MemberNode.java
@@ -11,33 +11,41 @@
 /** Membership in a play. Addresses are the columns; a column that ends on {@code '} is another under the same name. */
 final class MemberNode implements Play.Node<Members.Message> {
 
-    /** Pings and their answers are drawn where they bring news or are lost; news are suspicions, deaths, new incarnations. */
-    static final Play.Words<Members.Message> WORDS = new Play.Words<>() {
-        @Override public String of(Members.Message message) {
-            List<String> news = new ArrayList<>();
-            switch (message.kind()) {
-                case ASK_FOR -> news.add("ping " + message.about() + " for me");
-                case SYNC -> news.add("all");
-                case SYNC_BACK -> news.add("all back");
-                case SAY -> news.add(message.about());
-                default -> news.add(message.kind().name().toLowerCase(java.util.Locale.ROOT));
+    /** Pings are drawn where they bring news or are lost, and whatever else is of one of these kinds; news are what its hearer did not believe yet. */
+    static Play.Words<Members.Message> words(Members.Kind... always) {
+        return new Play.Words<>() {
+            @Override public String of(Members.Message message) {
+                return switch (message.kind()) {
+                    case ASK_FOR -> "ping " + message.about() + " for me";
+                    case SYNC -> "all I know";
+                    case SYNC_BACK -> "and all I know";
+                    case NACK -> "no ack";
+                    default -> message.kind().name().toLowerCase(java.util.Locale.ROOT);
+                };
             }
-            for (Views.Rumour rumour : message.rumours()) {
-                if (rumour.status() != Views.Status.ALIVE || rumour.incarnation() > 0) {
-                    news.add(told(rumour));
+
+            @Override public Play.Show show(Members.Message message) {
+                return List.of(always).contains(message.kind()) ? Play.Show.ALWAYS : message.kind() == Members.Kind.ASK_FOR ? Play.Show.SAID
+                        : message.kind() == Members.Kind.PING ? Play.Show.EFFECT_OR_LOST : Play.Show.EFFECT;
+            }
+
+            @Override public String news(Members.Message message, Map<String, String> believed) {
+                List<String> news = new ArrayList<>();
+                for (Views.Rumour rumour : message.rumours()) {
+                    // Of the hearer itself, what is not so; of others, what it did not know.
+                    if (believed.containsKey(rumour.name()) ? !told(rumour).equals(believed.get(rumour.name())) && !mine(rumour, believed)
+                            : rumour.status() != Views.Status.ALIVE || rumour.incarnation() > 0) {
+                        news.add(told(rumour));
+                    }
                 }
+                return news.isEmpty() ? "" : ", " + Play.together(news);
             }
-            return String.join(", ", news);
-        }
+        };
+    }
 
-        @Override public Play.Show show(Members.Message message) {
-            return switch (message.kind()) {
-                case ASK_FOR -> Play.Show.ALWAYS;
-                case PING -> Play.Show.EFFECT_OR_LOST;
-                default -> Play.Show.EFFECT;
-            };
-        }
-    };
+    private static boolean mine(Views.Rumour rumour, Map<String, String> believed) {
+        return believed.get(rumour.name()).equals("I am alive/" + rumour.incarnation()) && rumour.status() == Views.Status.ALIVE;
+    }
 
     private final Members members;
 
@@ -52,7 +60,8 @@
 
     /** The incarnation of its life, where it is not the first, behind. */
     static String told(Views.Rumour rumour) {
-        return rumour.name() + " " + rumour.status().name().toLowerCase(java.util.Locale.ROOT) + (rumour.incarnation() == 0 ? "" : "/" + rumour.incarnation());
+        return rumour.name() + " " + rumour.status().name().toLowerCase(java.util.Locale.ROOT) + (rumour.incarnation() == 0 ? "" : "/" + rumour.incarnation())
+                + (rumour.gossip().equals(rumour.name()) ? "" : " at " + rumour.gossip());
     }
 
     @Override public List<Play.Out<Members.Message>> look(Duration now) {
@@ -63,7 +72,8 @@
 
     @Override public List<Play.Out<Members.Message>> heard(Duration now, String from, Members.Message message) {
         members.heard(now, from, message);
-        return look(now);
+        // What it answers it says when it is looked at, in the same moment; what its own time brings is not the other's doing.
+        return List.of();
     }
 
     @Override public Map<String, String> believes(Duration now) {
--- a/src/main/java/merlinlever/faults/timeline/MemberPlays.java
+++ b/src/main/java/merlinlever/faults/timeline/MemberPlays.java
@@ -12,8 +12,8 @@
     }
 
     /** They know each other when it begins. */
-    private static Play<Members.Message> play(long seed, List<String> names) {
-        return new Play<>(seed, names, born -> new MemberNode(born, List.of("b1", "b2")), MemberNode.WORDS).until(12_000).begin();
+    private static Play<Members.Message> play(long seed, List<String> names, Members.Kind... always) {
+        return new Play<>(seed, names, born -> new MemberNode(born, List.of("b1", "b2")), MemberNode.words(always)).until(12_000).begin();
     }
 
     static Timeline death() {
@@ -21,8 +21,8 @@
         play.at(12_500, p -> p.kill("b3")).until(40_000);
         return play.timeline("""
                 A death
-                b3 is killed. Whoever pings it asks the others to ping it too; nobody hears it, so it is suspected, and the more
-                say so, the sooner it is held dead. b2 alone is never enough: the suspicion waits for b3's own word first.""");
+                b3 is killed. Whoever pings it and hears nothing asks the others to ping it too; then it suspects b3 and says so.
+                Each who found the same makes it surer: with two, a suspicion that b3 does not refute is a death after 4 s.""");
     }
 
     static Timeline refutation() {
@@ -31,42 +31,43 @@
         return play.timeline("""
                 A suspicion refuted
                 b3 stands still for 3.5 s. When it goes on it hears that it is suspected and says that it lives under its next
-                incarnation, which counts more than all that was said of the one before.""");
+                incarnation (alive/1), which counts more than all that was said of the one before.""");
     }
 
     static Timeline oneWay() {
-        Play<Members.Message> play = play(3, FOUR);
-        play.at(12_500, p -> p.cut("b1", "b2")).at(30_000, Play::heal).until(40_000);
+        Play<Members.Message> play = play(3, FOUR, Members.Kind.ACK);
+        play.at(12_500, p -> p.cut("b1", "b2")).until(14_300);
         return play.timeline("""
                 A one-way link
-                What b1 says does not reach b2; the other way is well. b1 hears no answer, but b3 and b4 ping b2 for it and bring
-                the answer back: nobody is suspected for long.""");
+                What b1 says does not reach b2; the other way is well. b1 has no answer, so b3 and b4 ping b2 for it and bring the
+                answer back; b2 does not hear b1's and asks them likewise. Nobody is suspected.""");
     }
 
     static Timeline restart() {
         Play<Members.Message> play = play(4, THREE);
-        play.at(12_500, p -> p.kill("b3")).at(13_000, p -> p.start("b3")).until(24_000);
+        play.at(12_500, p -> p.kill("b3")).at(21_000, p -> p.start("b3")).until(30_000);
         return play.timeline("""
                 Begun again under the same name
-                b3 is killed and begins again 500 ms later, knowing nobody and under incarnation 0 like its life before.""");
+                b3 is held dead when it begins again, knowing nobody, under incarnation 0 like its life before. It asks for all
+                that b1 and b2 know, hears that it is dead, and says better under incarnation 1.""");
     }
 
     static Timeline twins() {
-        Play<Members.Message> play = new Play<>(5, List.of("b1", "b2", "b2'"), born -> new MemberNode(born, List.of("b1", "b2")), MemberNode.WORDS);
+        Play<Members.Message> play = new Play<>(5, List.of("b1", "b2", "b2'"), born -> new MemberNode(born, List.of("b1", "b2")), MemberNode.words());
         play.until(12_000).begin();
         play.at(12_500, p -> p.start("b2'")).until(17_000);
         return play.timeline("""
                 Two under one name
-                Another b2 is started by mistake, on another address. Each hears of the other's life and answers with a higher
-                incarnation, without end: that is how both notice (Views.rivals), and are stopped from outside.""");
+                Another b2 is started by mistake, on another address (b2'). Each hears of the other's life and answers with a
+                higher incarnation, without end; b1 holds now the one for b2, now the other. Both count it (Views.rivals).""");
     }
 
     static Timeline healed() {
         Play<Members.Message> play = play(6, FOUR);
-        play.at(12_500, p -> p.partition(List.of("b1", "b2"), List.of("b3", "b4"))).at(60_000, Play::heal).until(95_000);
+        play.at(12_500, p -> p.partition("b1 b2 | b3 b4")).until(60_000).begin().at(60_500, Play::heal).until(95_000);
         return play.timeline("""
                 Two halves that hold each other dead find each other again
-                Each half comes to hold the other dead, and nobody pings the dead. Every ten periods one tells another all that it
-                believes, a dead one too: so the halves meet, and each of the dead says that it lives.""");
+                The links between b1 b2 and b3 b4 were cut for 48 s. Nobody pings the dead; but every ten periods each tells another
+                all that it knows, a dead one too. So the halves meet, and each of the dead says that it lives.""");
     }
 }
--- a/src/main/java/merlinlever/faults/timeline/Play.java
+++ b/src/main/java/merlinlever/faults/timeline/Play.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -53,16 +54,24 @@
         Node<M> born(Born born);
     }
 
-    /** When a message is drawn, where it was said and where it was heard. */
-    public enum Show { NEVER, EFFECT, EFFECT_OR_LOST, ALWAYS }
+    /** When a message is drawn, where it was said and where it was heard; {@code SAID} is drawn always, and only where it was said. */
+    public enum Show { NEVER, EFFECT, EFFECT_OR_LOST, SAID, ALWAYS }
 
     /** How messages are drawn. */
     public interface Words<M> {
         String of(M message);
 
         Show show(M message);
+
+        /** What of it is new to one that believed that before, to be drawn behind it where it had an effect; may be empty. */
+        default String news(M message, Map<String, String> believed) {
+            return "";
+        }
     }
 
+    /** Drawn across where something happened that must not. */
+    public static final String BROKEN = "BROKEN: ";
+
     /** Messages on their way at the most. */
     private static final int MOST_UNDER_WAY = 20_000;
     private static final long STEP = 10;
@@ -71,7 +80,8 @@
     /** What may be drawn: it is known later whether it is. */
     private static final class Draft {
         final long at;
-        final String node, what;
+        final String node;
+        String what;
         boolean shown;
 
         Draft(long at, String node, String what, boolean shown) {
@@ -137,6 +147,11 @@
         return this;
     }
 
+    /** It must not be so at any moment; where it is, that is drawn. */
+    public Play<M> never(String told, Predicate<Play<M>> so) {
+        return when(so, play -> play.all(BROKEN + told));
+    }
+
     public long now() {
         return now;
     }
@@ -211,10 +226,19 @@
         link(from, to, Links.Fault.CUT, "nothing from " + from + " reaches " + to);
     }
 
-    @SafeVarargs
-    public final void partition(List<String>... sides) {
-        links.partition(java.util.Arrays.stream(sides).map(side -> (Set<Integer>) new LinkedHashSet<>(side.stream().map(names::indexOf).toList())).toList());
-        all("parted: " + String.join(" | ", java.util.Arrays.stream(sides).map(side -> String.join(" ", side)).toList()));
+    /** Both ways; each side is names with spaces between, and sides have a bar between. */
+    public void partition(String sides) {
+        List<Set<Integer>> all = new ArrayList<>();
+        for (String side : sides.split(" \\| ")) {
+            Set<Integer> of = new LinkedHashSet<>();
+            for (String name : side.split(" ")) {
+                place(name);
+                of.add(names.indexOf(name));
+            }
+            all.add(of);
+        }
+        links.partition(all);
+        all("parted: " + sides);
     }
 
     /** Every link loses that share. */
@@ -312,11 +336,15 @@
         Draft heard = new Draft(now, names.get(sent.to), "< " + names.get(sent.from) + ": " + words.of(sent.message), show == Show.ALWAYS);
         drafts.add(heard);
         int before = drafts.size();
+        Map<String, String> believed = to.believed;
         List<Out<M>> said = to.node.heard(clock(names.get(sent.to)), names.get(sent.from), sent.message);
         believes(sent.to);
         if (show != Show.NEVER && drafts.size() > before) {
-            heard.shown = true;
+            String news = words.news(sent.message, believed);
+            heard.shown = show != Show.SAID;
             sent.draft.shown = true;
+            heard.what += news;
+            sent.draft.what += news;
         }
         send(sent.to, said);
     }
@@ -334,8 +362,25 @@
         place.believed.keySet().stream().filter(about -> !believed.containsKey(about)).forEach(about -> changed.add("no more of " + about));
         place.believed = believed;
         if (!changed.isEmpty()) {
-            note(names.get(i), "* " + String.join(", ", changed));
+            note(names.get(i), "* " + together(changed));
+        }
+    }
+
+    /** What is believed alike of several, one after the other, is said once. */
+    static String together(Collection<String> all) {
+        StringBuilder text = new StringBuilder();
+        String last = null;
+        for (String each : all) {
+            int space = each.indexOf(' ');
+            String rest = space < 0 ? null : each.substring(space);
+            if (rest != null && rest.equals(last)) {
+                text.insert(text.length() - rest.length(), " " + each.substring(0, space));
+            } else {
+                text.append(text.length() == 0 ? "" : ", ").append(each);
+            }
+            last = rest;
         }
+        return text.toString();
     }
 
     private void send(int from, List<Out<M>> said) {
@@ -349,7 +394,7 @@
             boolean lost = times.isEmpty();
             boolean gone = places.get(to).node == null;
             Draft draft = new Draft(now, names.get(from), (lost || gone ? "x " : "> ") + out.to + ": " + words.of(out.message),
-                    show == Show.ALWAYS || lost && show == Show.EFFECT_OR_LOST);
+                    show == Show.ALWAYS || show == Show.SAID || lost && show == Show.EFFECT_OR_LOST);
             drafts.add(draft);
             times.forEach(at -> net.add(new Sent<>(Math.max(now + 1, at.toMillis()), orders++, from, to, out.message, draft)));
         }
@@ -361,7 +406,7 @@
         for (int i = 0; i < places.size(); i++) {
             Place<M> place = places.get(i);
             if (place.node != null && !place.believed.isEmpty()) {
-                note(names.get(i), "* " + String.join(", ", place.believed.values()));
+                note(names.get(i), "* " + together(place.believed.values()));
             }
         }
         drawn = now;
--- a/src/main/java/merlinlever/faults/timeline/Plays.java
+++ b/src/main/java/merlinlever/faults/timeline/Plays.java
@@ -17,6 +17,12 @@
         ALL.put("members-restart", MemberPlays::restart);
         ALL.put("members-two-under-one-name", MemberPlays::twins);
         ALL.put("members-healed", MemberPlays::healed);
+        ALL.put("budgets-first-leader", BudgetPlays::first);
+        ALL.put("budgets-leader-killed", BudgetPlays::killed);
+        ALL.put("budgets-leader-parted", BudgetPlays::parted);
+        ALL.put("budgets-leader-paused", BudgetPlays::paused);
+        ALL.put("budgets-lost-promises", BudgetPlays::lostPromises);
+        ALL.put("budgets-two-restart", BudgetPlays::restarted);
     }
 
     private Plays() {
