--- /dev/null
+++ b/src/main/java/merlinlever/cli/Together.java
@@ -0,0 +1,117 @@
+package merlinlever.cli;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import merlinlever.budgets.Budget;
+import merlinlever.budgets.Sharing;
+import merlinlever.budgets.net.Budgets;
+import merlinlever.core.Backend;
+import merlinlever.net.Loop;
+import merlinlever.recovery.net.Rejoin;
+import merlinlever.term.net.Leading;
+
+/**
+ * What one backend decides and shares with the others of its fleet: who leads, limits of the whole fleet. Only where its
+ * configuration names {@code recovery.voters}; elsewhere this class is never loaded.
+ */
+final class Together implements Sharing.Spender {
+
+    private final Loop loop;
+    private final Backend backend;
+    /** Null where no limit is shared with the others. */
+    private final Budgets budgets;
+
+    Together(Map<String, String> rest, Loop loop, Rejoin rejoin, Backend backend, long seed, Consumer<String> told) throws Serve.Unusable {
+        this.loop = loop;
+        this.backend = backend;
+        List<Budget> shared = budgets(rest);
+        List<String> voters = List.of(rest.getOrDefault("recovery.voters", "").split(","));
+        if (voters.contains("")) {
+            throw new Serve.Unusable("with budgets the configuration's recovery.voters names who may divide them, the same everywhere");
+        }
+        // Who this life is: no other of this backend began in the same millisecond with the same pid.
+        long life = System.currentTimeMillis() << 20 ^ ProcessHandle.current().pid();
+        Duration lease = shared.isEmpty() ? text(rest, "recovery.lease", "2s") : shared.get(0).lease();
+        double drift = shared.isEmpty() ? 0.01 : shared.get(0).drift();
+        Leading leading = new Leading(loop, rejoin, voters, lease, drift, seed, told);
+        budgets = shared.isEmpty() ? null : new Budgets(loop, rejoin, shared, leading, life, seed, this, told);
+    }
+
+    /** The limits of the whole fleet, as the configuration has them; checked here, as serve loads no schema. */
+    private List<Budget> budgets(Map<String, String> rest) throws Serve.Unusable {
+        List<Budget> budgets = new ArrayList<>();
+        for (int i = 0; rest.containsKey("budgets." + i + ".name"); i++) {
+            String at = "budgets." + i + ".";
+            String name = rest.get(at + "name");
+            String per = rest.getOrDefault(at + "per", "");
+            double whole = Serve.number(rest, at + "whole", -1);
+            double drift = Serve.number(rest, at + "drift", 0.01);
+            Map<String, Integer> weights = new TreeMap<>();
+            for (Map.Entry<String, String> entry : rest.entrySet()) {
+                if (entry.getKey().startsWith(at + "weights.")) {
+                    int weight = entry.getValue().matches("[1-9][0-9]{0,3}") ? Integer.parseInt(entry.getValue()) : 0;
+                    if (weight == 0) {
+                        throw new Serve.Unusable("the configuration's " + entry.getKey() + " is to be from 1 to 9999");
+                    }
+                    weights.put(entry.getKey().substring((at + "weights.").length()), weight);
+                }
+            }
+            String of = rest.getOrDefault(at + "of", "calls");
+            if (!name.matches("[a-z0-9-]{1,20}")) {
+                throw new Serve.Unusable("the configuration's " + at + "name has 1 to 20 of a-z, 0-9 and -, not " + name);
+            } else if (!per.equals("second") && !per.equals("at-once")) {
+                throw new Serve.Unusable("the configuration's " + at + "per is second or at-once, not '" + per + "'");
+            } else if (!(whole >= 0 && whole <= 1e9) || whole != Math.rint(whole)) {
+                throw new Serve.Unusable("the configuration's " + at + "whole is to be a whole number from 0 to 1000000000");
+            } else if (!(drift >= 0 && drift <= 0.2)) {
+                throw new Serve.Unusable("the configuration's " + at + "drift is to be from 0 to 0.2");
+            } else if (!of.equals("calls") && backend.tariff(of) < 0) {
+                throw new Serve.Unusable("the configuration's " + at + "of is calls or a tariff, not " + of);
+            }
+            budgets.add(new Budget(name, of, (long) whole, per.equals("second") ? Budget.Per.SECOND : Budget.Per.AT_ONCE, text(rest, at + "lease", "2s"),
+                    drift, text(rest, at + "longest", "5s"), weights));
+        }
+        return budgets;
+    }
+
+    private static Duration text(Map<String, String> rest, String name, String usual) throws Serve.Unusable {
+        String text = rest.getOrDefault(name, usual);
+        if (!text.matches("[0-9]{1,6}(ms|s)")) {
+            throw new Serve.Unusable("the configuration's " + name + " is a span such as 500ms or 2s, not '" + text + "'");
+        }
+        Duration span = text.endsWith("ms") ? Duration.ofMillis(Long.parseLong(text.substring(0, text.length() - 2)))
+                : Duration.ofSeconds(Long.parseLong(text.substring(0, text.length() - 1)));
+        if (span.compareTo(Duration.ofMillis(200)) < 0 || span.compareTo(Duration.ofMinutes(10)) > 0) {
+            throw new Serve.Unusable("the configuration's " + name + " is to be from 200ms to 600s");
+        }
+        return span;
+    }
+
+    void reread(Map<String, String> rest) throws Serve.Unusable {
+        if (budgets != null) {
+            budgets.wholes(budgets(rest));
+        }
+    }
+
+    @Override public long[] demand(Duration now, Budget budget) {
+        return backend.demand(ofModule(now), backend.tariff(budget.of()));
+    }
+
+    @Override public void share(Budget budget, long share, Duration until) {
+        backend.share(backend.tariff(budget.of()), share, budget.per() == Budget.Per.SECOND, ofModule(until),
+                budget.of().equals("calls") && budget.per() == Budget.Per.AT_ONCE ? budget.longest() : null);
+    }
+
+    private Duration ofModule(Duration sinceBegin) {
+        return Recovering.ofModule(loop, sinceBegin);
+    }
+
+    /** Further members of the JSON object that tells how far this one has come. */
+    String json() {
+        return budgets == null ? "" : ",\"budgets\":" + budgets.json();
+    }
+}
