--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -230,12 +230,14 @@
         // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
             edge.close();
-            loop.every(Duration.ofMillis(10), this::endWhenAnswered);
+            Duration last = clock.uptime().plus(grace.compareTo(stop) < 0 ? stop.minus(grace) : Duration.ZERO);
+            loop.every(Duration.ofMillis(10), () -> endWhenAnswered(last));
         });
     }
 
-    private void endWhenAnswered() {
-        if (backend.inHand() == 0 && edge.allWritten()) {
+    /** Not before the last moment while a connection is open: what is written to it as it ends here would be lost. */
+    private void endWhenAnswered(Duration last) {
+        if (backend.inHand() == 0 && edge.allWritten() && (edge.none() || clock.uptime().compareTo(last) >= 0)) {
             Map<String, Long> watched = backend.watched();
             if (!watched.isEmpty()) {
                 log.info("watch: the watched settings would have decided otherwise " + watched);
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -25,8 +25,8 @@
 
     /** The most fingerprints, with bodies and results, that the memory of this process is planned for. */
     private static final int MOST_KEPT = 4000;
-    /** A reply that left so shortly before its link was last heard may not have got through. */
-    private static final Duration IN_TRANSIT = Duration.ofMillis(20);
+    /** What left within 50 ms before a link broke may be lost, and a link was last heard before it broke. */
+    private static final Duration IN_TRANSIT = Duration.ofMillis(55);
 
     private final Map<String, String> given;
     private final long seed;
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -19,13 +19,13 @@
     private static final byte[] NOTHING = {};
     private static final byte[] GO_ON = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    /** What it is about: waiting for a message, reading one, having one in hand, answering, awaiting its end. */
-    enum State { IDLE, RECEIVING, IN_HAND, ANSWERING, LINGERING }
+    /** What it is about: before its first whole message, waiting for one, reading one, having one in hand, answering, awaiting its end. */
+    enum State { NEW, IDLE, RECEIVING, IN_HAND, ANSWERING, LINGERING }
 
     private final EdgeNodes owner;
     private final Head head = new Head();
     private Connection connection;
-    private State state = State.IDLE;
+    private State state = State.NEW;
     private Work work;
     private int seen;
     private boolean last, asked;
@@ -36,7 +36,7 @@
 
     void on(Connection made) {
         connection = made;
-        become(State.IDLE);
+        become(State.NEW);
     }
 
     Connection connection() {
@@ -53,7 +53,7 @@
     @Override public void read(ByteBuffer in) {
         if (state == State.LINGERING) {
             in.position(in.limit());
-        } else if (state == State.IDLE || state == State.RECEIVING) {
+        } else if (state == State.NEW || state == State.IDLE || state == State.RECEIVING) {
             message(in);
         }
     }
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -25,6 +25,8 @@
 
     private static final Duration SWEEP = Duration.ofMillis(100);
     private static final Duration SLOWEST = Duration.ofSeconds(5);
+    /** Whoever connects is to hear something within 3 s; who has said nothing whole so long after it is no edge node. */
+    private static final Duration FIRST = Duration.ofMillis(2500);
     private static final Duration LINGER = Duration.ofSeconds(1);
     /** Edge nodes close what is idle for the stated time; only what they forget is closed by that alone. */
     private static final int FORGOTTEN = 2;
@@ -108,6 +110,11 @@
         return since.get(EdgeConnection.State.ANSWERING).isEmpty() && since.get(EdgeConnection.State.IN_HAND).isEmpty();
     }
 
+    /** Whether no connection is open. */
+    public boolean none() {
+        return since.values().stream().allMatch(LinkedHashMap::isEmpty);
+    }
+
     public void closeIdle(Duration after) {
         closeIdle = after;
     }
@@ -125,13 +132,23 @@
     }
 
     private void closeIdlest() {
-        Iterator<EdgeConnection> idle = since.get(EdgeConnection.State.IDLE).keySet().iterator();
-        if (idle.hasNext()) {
-            idle.next().connection().end(Ended.IDLE);
+        Map.Entry<EdgeConnection, Duration> idle = oldest(EdgeConnection.State.IDLE);
+        Map.Entry<EdgeConnection, Duration> unused = oldest(EdgeConnection.State.NEW);
+        if (idle == null || unused != null && unused.getValue().compareTo(idle.getValue()) < 0) {
+            idle = unused;
+        }
+        if (idle != null) {
+            idle.getKey().connection().end(Ended.IDLE);
         }
     }
 
+    private Map.Entry<EdgeConnection, Duration> oldest(EdgeConnection.State state) {
+        Iterator<Map.Entry<EdgeConnection, Duration>> all = since.get(state).entrySet().iterator();
+        return all.hasNext() ? all.next() : null;
+    }
+
     private void sweep() {
+        endAll(EdgeConnection.State.NEW, FIRST, Ended.SLOW);
         endAll(EdgeConnection.State.IDLE, closeIdle, Ended.IDLE);
         endAll(EdgeConnection.State.RECEIVING, SLOWEST, Ended.SLOW);
         endAll(EdgeConnection.State.ANSWERING, SLOWEST, Ended.SLOW);
--- a/src/test/java/merlinlever/cli/ServeTest.java
+++ b/src/test/java/merlinlever/cli/ServeTest.java
@@ -409,6 +409,24 @@
         assertEquals(-1, slow.getInputStream().read());
     }
 
+    /** Within 3 s of connecting each hears something; a connection that was of use may be idle for longer. */
+    @Example
+    void whoConnectsAndBringsNothingWholeIsClosedInTime() throws IOException {
+        startUp();
+        greet();
+        Socket used = ask("GET /status/live HTTP/1.1\r\n\r\n");
+        assertEquals(200, answer(used).status());
+        long from = System.nanoTime();
+        Socket silent = ask("");
+        Socket half = ask(operation("look", "", "body").replace("Length: 4", "Length: 40"));
+        assertEquals(-1, silent.getInputStream().read());
+        assertEquals(-1, half.getInputStream().read());
+        long took = (System.nanoTime() - from) / 1_000_000;
+        assertTrue(took < 3000, took + " ms");
+        ask(used, "GET /status/live HTTP/1.1\r\n\r\n");
+        assertEquals(200, answer(used).status());
+    }
+
     @Example
     void toldToLeaveItAnswersWhatItHasAndEnds() throws IOException, InterruptedException {
         startUp();
@@ -423,7 +441,14 @@
         }
         outcome(1, launch, "OK", new byte[] {7});
         assertArrayEquals(new byte[] {7}, answer(edge).body());
-        assertTrue(program.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        // All is answered and the grace is over: what still comes on a connection that stayed open hears that it did not run.
+        Thread.sleep(500);
+        Answer late = answer(ask(check, operation("look", "", "")));
+        assertEquals(503, late.status());
+        assertTrue(late.head().contains("Connection: close"), late.head());
+        check.close();
+        edge.close();
+        assertTrue(program.waitFor(5, TimeUnit.SECONDS), "with nobody connected it does not wait for its stop");
         assertEquals(143, program.exitValue());
     }
 
--- a/src/test/java/merlinlever/core/BackendTest.java
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -348,6 +348,20 @@
         assertEquals(List.of(), around.asked);
     }
 
+    /** What left up to 50 ms before the break may be lost with the link, even where the link was heard of until then. */
+    @Example
+    void aReplyThatLeftShortlyBeforeTheBreakIsSentAgain() {
+        Around around = new Around();
+        String a = around.take("look", null, "a");
+        around.calls(a);
+        around.replied(a, Ending.OK);
+        around.after(45);
+        around.backend.linkLost(around.now);
+        around.backend.linkBack(around.now.plusMillis(1));
+        around.backend.caughtUp();
+        assertEquals(2, around.times("deliver " + a));
+    }
+
     /** An outcome that can no longer be learned: answered, and a mark of it is never run again. */
     @Example
     void runsWhoseNoticesWereMissedAreBrokenOffAndNotBegunAgain() {
