--- a/src/main/java/merlinlever/shared/Common.java
+++ b/src/main/java/merlinlever/shared/Common.java
@@ -11,9 +11,18 @@
     record Clash(String owner, String topic, long incarnation, long sequence, String one, String other) {
     }
 
-    /** Hears of what came anew from elsewhere. */
+    /** Hears of what came anew from other backends; what this one puts or passes itself it knows. */
     interface Hearer {
+        /** A newer word; without a value where its owner took it back. */
         void came(Duration now, Snapshot snapshot);
+
+        /** The word counts no longer: it grew too old without its owner's refresh, or this one was away for too long. */
+        default void gone(Duration now, String owner, String topic) {
+        }
+
+        /** The word was claimed twice and is set aside; what was adopted of an earlier version is the hearer's to keep or end. */
+        default void clashed(Duration now, Clash clash) {
+        }
     }
 
     /** This backend's own word on the topic, in place of its last; false where there is no room for it. */
@@ -30,6 +39,7 @@
     /** Of all owners, in the order of their names; what was taken back is not among it. */
     List<Snapshot> all(String topic);
 
+    /** Those that stand now: a later word of the owner ends one. */
     List<Clash> clashes();
 
     void hears(Hearer hearer);
--- /dev/null
+++ b/src/test/java/merlinlever/shared/WordsTest.java
@@ -0,0 +1,391 @@
+package merlinlever.shared;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import merlinlever.faults.SharedModel;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class WordsTest {
+
+    private static final Words.Stated SHORT = new Words.Stated(Duration.ofMillis(200), 3, Duration.ofSeconds(60), 512 << 10, true);
+
+    private static byte[] octets(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static Words.Stated keepless() {
+        return new Words.Stated(SHORT.period(), 3, SHORT.age(), 512 << 10, false);
+    }
+
+    private static Words alone(String name, String... live) {
+        return new Words(Duration.ZERO, name, 1, Words.Kept.NOTHING, keepless(), () -> List.of(live), new SplittableRandom(7), line -> { });
+    }
+
+    /** Few owners, topics, versions and values, so that much meets. */
+    private static Word drawn(SplittableRandom chance) {
+        byte[] value = chance.nextInt(4) == 0 ? null : octets("v" + chance.nextInt(3));
+        return Word.of(new Snapshot("o" + chance.nextInt(3), "t" + chance.nextInt(2), chance.nextInt(3), chance.nextInt(3), value), Duration.ofMillis(chance.nextInt(5)));
+    }
+
+    private static Lot lot(List<Word> words) {
+        Lot lot = new Lot();
+        words.forEach(lot::merge);
+        return lot;
+    }
+
+    private static void same(Lot one, Lot other) {
+        assertEquals(one.digest(), other.digest());
+        assertArrayEquals(one.sums(), other.sums());
+        assertEquals(one.octets(), other.octets());
+        for (Word word : one.words()) {
+            Word its = other.get(word.key());
+            assertEquals(word.digests(), its.digests());
+            assertArrayEquals(word.value(), its.value());
+            assertEquals(word.clashes(), word.digests().size() == 2);
+        }
+    }
+
+    @Property(tries = 2000, seed = "31")
+    void lotsMergeAlikeInAnyOrderAnyNumberOfTimesAndInAnyGroups(@ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int n) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<Word> words = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            words.add(drawn(chance));
+        }
+        Lot all = lot(words);
+        List<Word> more = new ArrayList<>(words);
+        more.addAll(words.subList(0, chance.nextInt(n + 1)));
+        Collections.shuffle(more, new Random(seed));
+        same(all, lot(more));
+        // Two parts, each merged on its own, then the one into the other.
+        int cut = chance.nextInt(n + 1);
+        Lot left = lot(words.subList(0, cut));
+        lot(words.subList(cut, n)).words().forEach(left::merge);
+        same(all, left);
+        all.words().forEach(left::merge);
+        same(all, left);
+        // What is held of a key is the highest version of it that was said, and a clash just where it was said in two ways.
+        for (Word held : all.words()) {
+            List<Word> top = words.stream().filter(word -> word.key().equals(held.key()) && !held.after(word)).toList();
+            assertTrue(top.stream().noneMatch(word -> word.after(held)));
+            assertEquals(top.stream().map(word -> word.digests().get(0)).distinct().count() > 1, held.clashes());
+        }
+    }
+
+    // ---- fleets on a network of the model's own
+
+    @Example
+    void afterAnyTroubleAllHoldTheSameAndWhatEachPutLast() {
+        for (int seed = 0; seed < Integer.getInteger("merlinlever.seeds", 25); seed++) {
+            SplittableRandom chance = new SplittableRandom(seed);
+            int n = 2 + chance.nextInt(7);
+            SharedModel fleet = new SharedModel(seed, n, SHORT);
+            List<TreeMap<String, String>> last = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                last.add(new TreeMap<>());
+            }
+            for (int step = 0; step < 1500; step++) {
+                if (chance.nextInt(80) == 0) {
+                    fleet.trouble();
+                }
+                int i = chance.nextInt(n);
+                if (fleet.up(i) && chance.nextInt(10) == 0) {
+                    String topic = "t" + chance.nextInt(3);
+                    String value = "v" + step + "x".repeat(chance.nextInt(40) == 0 ? 3000 : 1);
+                    if (chance.nextInt(4) == 0) {
+                        fleet.nodes[i].remove(fleet.clock(i), topic);
+                        last.get(i).remove(topic);
+                    } else if (fleet.nodes[i].put(fleet.clock(i), topic, octets(value))) {
+                        last.get(i).put(topic, value);
+                    }
+                }
+                fleet.step();
+            }
+            fleet.heal();
+            fleet.run(8000);
+            // Each says all again: whatever its former lives left is known, and outdone.
+            for (int i = 0; i < n; i++) {
+                for (int t = 0; t < 3; t++) {
+                    String value = last.get(i).get("t" + t);
+                    if (value == null) {
+                        fleet.nodes[i].remove(fleet.clock(i), "t" + t);
+                    } else {
+                        assertTrue(fleet.nodes[i].put(fleet.clock(i), "t" + t, octets(value)));
+                    }
+                }
+            }
+            fleet.run(8000);
+            assertTrue(fleet.equal(), "seed " + seed + ": not all hold the same");
+            for (int i = 0; i < n; i++) {
+                for (int k = 0; k < n; k++) {
+                    for (int t = 0; t < 3; t++) {
+                        String value = fleet.nodes[k].of("b" + i, "t" + t).map(word -> new String(word.value(), StandardCharsets.US_ASCII)).orElse(null);
+                        assertEquals(last.get(i).get("t" + t), value, "seed " + seed + ": of b" + i + " at b" + k);
+                    }
+                }
+            }
+        }
+    }
+
+    @Example
+    void aRestartNeverTellsLessThanWasHeardOfTheLifeBefore() {
+        for (int seed = 0; seed < 20; seed++) {
+            SharedModel fleet = new SharedModel(seed, 4, SHORT);
+            SplittableRandom chance = new SplittableRandom(seed);
+            long told = 0;
+            long count = 0;
+            for (int step = 0; step < 2000; step++) {
+                if (chance.nextInt(200) == 0) {
+                    fleet.kill(0, chance.nextInt(2000), false);
+                }
+                if (fleet.up(0)) {
+                    // As a counter does: it goes on from what its life before left.
+                    count = fleet.nodes[0].of("b0", "count").map(word -> Long.parseLong(new String(word.value(), StandardCharsets.US_ASCII))).orElse(0L);
+                    assertTrue(count >= told, "seed " + seed + ": it goes on from " + count + ", others have heard " + told);
+                    fleet.nodes[0].put(fleet.clock(0), "count", octets("" + (count + 1)));
+                }
+                fleet.step();
+                told = Math.max(told, fleet.nodes[1].of("b0", "count").map(word -> Long.parseLong(new String(word.value(), StandardCharsets.US_ASCII))).orElse(0L));
+            }
+            assertTrue(told > 200, "" + told);
+        }
+    }
+
+    @Example
+    void whatWasTakenBackDoesNotComeBackFromOneThatSleptOrWasCutOff() {
+        for (int seed = 0; seed < 12; seed++) {
+            SharedModel fleet = new SharedModel(seed, 5, SHORT);
+            for (int i = 0; i < 5; i++) {
+                fleet.nodes[i].put(fleet.clock(i), "keep", octets("k"));
+            }
+            fleet.nodes[0].put(fleet.clock(0), "gone", octets("old"));
+            fleet.run(5000);
+            assertTrue(fleet.nodes[4].of("b0", "gone").isPresent());
+            // Two cut off together, one that stands still, for a while from short of the age to long past it.
+            long away = 10_000 + 15_000L * seed;
+            if (seed % 2 == 0) {
+                fleet.pause(4, away);
+            } else {
+                fleet.side[3] = fleet.side[4] = 1;
+            }
+            fleet.run(500);
+            fleet.nodes[0].remove(fleet.clock(0), "gone");
+            fleet.run(away);
+            fleet.heal();
+            fleet.run(300);
+            for (int step = 0; step < 400; step++) {
+                fleet.step();
+                for (int i = 0; i < 3; i++) {
+                    assertTrue(fleet.nodes[i].of("b0", "gone").isEmpty(), "seed " + seed + ": it is back at b" + i);
+                }
+            }
+            assertTrue(fleet.equal(), "seed " + seed);
+            assertTrue(fleet.nodes[4].of("b0", "gone").isEmpty(), "seed " + seed + ": the one that was away has dropped it");
+            assertTrue(fleet.nodes[0].of("b4", "keep").isPresent() && fleet.nodes[4].of("b0", "keep").isPresent(), "what is refreshed lives");
+        }
+    }
+
+    @Example
+    void wordsOfOneThatDiedAgeOutEverywhereAndThoseOfTheLivingDoNot() {
+        SharedModel fleet = new SharedModel(5, 4, SHORT);
+        List<String> gone = new ArrayList<>();
+        fleet.nodes[1].hears(new Common.Hearer() {
+            @Override public void came(Duration now, Snapshot snapshot) {
+            }
+
+            @Override public void gone(Duration now, String owner, String topic) {
+                gone.add(owner + " " + topic);
+            }
+        });
+        for (int i = 0; i < 4; i++) {
+            fleet.nodes[i].put(fleet.clock(i), "count", octets("c"));
+        }
+        fleet.run(3000);
+        fleet.kill(3, 1_000_000, false);
+        fleet.run(50_000);
+        assertTrue(fleet.nodes[1].of("b3", "count").isPresent(), "its counts are held on");
+        fleet.run(15_000);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(List.of("b0", "b1", "b2"), fleet.nodes[i].all("count").stream().map(Snapshot::owner).toList());
+        }
+        assertEquals(List.of("b3 count"), gone);
+    }
+
+    @Example
+    void oneVersionClaimedTwiceIsSetAsideAndToldOnBothSidesUntilALaterWord() {
+        SharedModel fleet = new SharedModel(6, 4, SHORT);
+        List<Common.Clash> heard = new ArrayList<>();
+        fleet.nodes[3].hears(new Common.Hearer() {
+            @Override public void came(Duration now, Snapshot snapshot) {
+            }
+
+            @Override public void clashed(Duration now, Common.Clash clash) {
+                heard.add(clash);
+            }
+        });
+        fleet.side[2] = fleet.side[3] = 1;
+        assertTrue(fleet.nodes[0].pass(fleet.clock(0), new Snapshot("site", "table", 4, 7, octets("one"))));
+        assertTrue(fleet.nodes[2].pass(fleet.clock(2), new Snapshot("site", "table", 4, 7, octets("two"))));
+        assertFalse(fleet.nodes[2].pass(fleet.clock(2), new Snapshot("site", "table", 4, 6, octets("older"))));
+        fleet.run(2000);
+        assertTrue(fleet.nodes[1].of("site", "table").isPresent() && fleet.nodes[3].of("site", "table").isPresent());
+        fleet.heal();
+        fleet.run(4000);
+        List<String> digests = List.of(Word.digest(octets("one")), Word.digest(octets("two"))).stream().sorted().toList();
+        Common.Clash clash = new Common.Clash("site", "table", 4, 7, digests.get(0), digests.get(1));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(List.of(clash), fleet.nodes[i].clashes(), "at b" + i);
+            assertTrue(fleet.nodes[i].of("site", "table").isEmpty() && fleet.nodes[i].all("table").isEmpty());
+            assertFalse(fleet.nodes[i].pass(fleet.clock(i), new Snapshot("site", "table", 4, 7, octets("one"))), "neither is taken any more");
+        }
+        assertEquals(List.of(clash), heard);
+        assertTrue(fleet.equal());
+        assertTrue(fleet.nodes[1].pass(fleet.clock(1), new Snapshot("site", "table", 4, 8, octets("three"))));
+        fleet.run(4000);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(List.of(), fleet.nodes[i].clashes());
+            assertArrayEquals(octets("three"), fleet.nodes[i].of("site", "table").orElseThrow().value());
+        }
+    }
+
+    @Example
+    void oneWhoseDiskIsLostSaysItsWordsAboveThoseOfItsFormerLife() {
+        SharedModel fleet = new SharedModel(8, 3, SHORT);
+        for (int k = 0; k < 9; k++) {
+            fleet.nodes[0].put(fleet.clock(0), "count", octets("former" + k));
+            fleet.run(300);
+        }
+        fleet.kill(0, 100, true);
+        fleet.run(200);
+        assertTrue(fleet.nodes[0].of("b0", "count").isEmpty(), "it has nothing of its own");
+        fleet.nodes[0].put(fleet.clock(0), "count", octets("now"));
+        fleet.run(4000);
+        assertArrayEquals(octets("now"), fleet.nodes[2].of("b0", "count").orElseThrow().value());
+        assertTrue(fleet.equal());
+    }
+
+    // ---- bounds and readers
+
+    @Example
+    void wordsTopicsAndOctetsAreBounded() {
+        Words words = alone("b0");
+        assertFalse(words.put(Duration.ZERO, "t", new byte[Snapshot.MOST_OCTETS + 1]));
+        assertFalse(words.put(Duration.ZERO, "with space", octets("x")));
+        int own = 0;
+        while (own < 100 && words.put(Duration.ZERO, "t" + own, new byte[3000])) {
+            own++;
+        }
+        assertEquals(Words.MOST_OWN, own);
+        assertFalse(words.put(Duration.ZERO, "t0", new byte[Snapshot.MOST_OCTETS]) && words.put(Duration.ZERO, "t1", new byte[Snapshot.MOST_OCTETS])
+                && words.put(Duration.ZERO, "t2", new byte[Snapshot.MOST_OCTETS]) && words.put(Duration.ZERO, "t3", new byte[Snapshot.MOST_OCTETS])
+                && words.put(Duration.ZERO, "t4", new byte[Snapshot.MOST_OCTETS]) && words.put(Duration.ZERO, "t5", new byte[Snapshot.MOST_OCTETS]));
+        Words full = alone("b1");
+        int passed = 0;
+        while (passed < 3000 && full.pass(Duration.ZERO, new Snapshot("s" + passed, "table", 1, 1, octets("x")))) {
+            passed++;
+        }
+        assertEquals(Lot.MOST, passed);
+        assertTrue(full.pass(Duration.ZERO, new Snapshot("s0", "table", 1, 2, octets("newer"))), "what is held goes forward all the same");
+        Words wide = alone("b2");
+        passed = 0;
+        while (passed < 3000 && wide.pass(Duration.ZERO, new Snapshot("s" + passed, "table", 1, 1, new byte[Snapshot.MOST_OCTETS]))) {
+            passed++;
+        }
+        assertTrue(passed >= 500 && passed <= 512, "8 MiB: " + passed);
+    }
+
+    @Example
+    void noLetterAndNoSecondIsOverItsOctets() {
+        Words.Stated small = new Words.Stated(Duration.ofMillis(200), 3, Duration.ofSeconds(60), 100 << 10, false);
+        Words words = new Words(Duration.ZERO, "b0", 1, Words.Kept.NOTHING, small, () -> List.of("b1", "b2", "b3"), new SplittableRandom(7), line -> { });
+        for (int i = 0; i < 400; i++) {
+            words.pass(Duration.ZERO, new Snapshot("s" + i, "table", 1, 1, new byte[i % 2 == 0 ? 800 : 15_000]));
+        }
+        byte[] nothing = Letters.sums(new long[Lot.BUCKETS]);
+        for (int second = 0; second < 20; second++) {
+            long octets = 0;
+            for (int k = 0; k < 50; k++) {
+                Duration now = Duration.ofMillis(second * 1000L + k * 20);
+                List<Carry> out = new ArrayList<>(words.look(now));
+                // One that holds nothing asks and asks.
+                for (Carry lines : words.came(now, "b9", nothing)) {
+                    out.add(lines);
+                    Letters.Lines read = (Letters.Lines) Letters.read(lines.body());
+                    out.addAll(words.came(now, "b9", Letters.want(read.lines().stream().map(Lot.Line::key).limit(50).toList())));
+                }
+                for (Carry each : out) {
+                    assertTrue(each.body().length <= Letters.MOST);
+                    octets += each.body().length;
+                }
+            }
+            assertTrue(octets <= (second == 0 ? 2 : 1) * (100L << 10) + 40_000, second + ": " + octets);
+            assertTrue(second > 0 || octets > 50_000, "and it is used: " + octets);
+        }
+    }
+
+    @Property(tries = 20_000, seed = "33")
+    void aReaderTakesNothingOfWhatIsNoLetterAndWritesBackWhatIsOne(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Lot lot = new Lot();
+        for (int i = chance.nextInt(8); i >= 0; i--) {
+            lot.merge(drawn(chance));
+        }
+        byte[] letter = switch (chance.nextInt(4)) {
+            case 0 -> Letters.sums(lot.sums());
+            case 1 -> Letters.lines(chance.nextLong(), lot.lines(-1));
+            case 2 -> Letters.words(Duration.ofSeconds(9), lot.words());
+            default -> Letters.want(lot.words().stream().map(Word::key).toList());
+        };
+        assertArrayEquals(letter, again(Letters.read(letter)), "a letter reads as what was written");
+        byte[] spoilt = letter.clone();
+        switch (chance.nextInt(3)) {
+            case 0 -> spoilt[chance.nextInt(spoilt.length)] ^= (byte) (1 << chance.nextInt(8));
+            case 1 -> spoilt = java.util.Arrays.copyOf(spoilt, chance.nextInt(spoilt.length + 9));
+            default -> {
+                for (int k = chance.nextInt(6); k >= 0; k--) {
+                    spoilt[chance.nextInt(spoilt.length)] = (byte) chance.nextInt(256);
+                }
+            }
+        }
+        Words words = alone("b0", "b1");
+        String before = words.digest();
+        Object read = Letters.read(spoilt);
+        words.came(Duration.ofMillis(20), "b1", spoilt);
+        if (read == null) {
+            assertEquals(before, words.digest(), "nothing is taken of what cannot be read whole");
+            assertTrue(words.json().contains("\"malformed\":1"));
+        } else {
+            // There is one way to write what was read, so nothing was passed over in silence.
+            assertArrayEquals(spoilt, again(read));
+        }
+    }
+
+    private static byte[] again(Object letter) {
+        assertNotEquals(null, letter);
+        if (letter instanceof Letters.Sums sums) {
+            return Letters.sums(sums.sums());
+        } else if (letter instanceof Letters.Lines lines) {
+            return Letters.lines(lines.whole(), lines.lines());
+        } else if (letter instanceof Letters.Want want) {
+            return Letters.want(want.keys());
+        }
+        List<Letters.Aged> words = ((Letters.Told) letter).words();
+        Duration now = Duration.ofDays(2000);
+        return Letters.words(now, words.stream().map(each -> each.word().born(now.minusMillis(each.ageMs()))).toList());
+    }
+}
