--- a/src/main/java/merlinlever/json/Json.java
+++ b/src/main/java/merlinlever/json/Json.java
@@ -14,10 +14,12 @@
     private static final int DEEPEST = 32;
 
     private final String text;
+    private final boolean strict;
     private int at;
 
-    private Json(String text) {
+    private Json(String text, boolean strict) {
         this.text = text;
+        this.strict = strict;
     }
 
     /** Text that is no JSON. */
@@ -30,7 +32,18 @@
     }
 
     public static Object parse(String text) throws Malformed {
-        Json json = new Json(text);
+        return parse(new Json(text, false), text);
+    }
+
+    /** As {@link #object}, but a name that comes twice in an object is a fault. */
+    public static Map<?, ?> strictObject(String text) throws Malformed {
+        if (parse(new Json(text, true), text) instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new Malformed("not an object");
+    }
+
+    private static Object parse(Json json, String text) throws Malformed {
         Object value = json.value(0);
         json.space();
         if (json.at < text.length()) {
@@ -109,7 +122,11 @@
             String name = string();
             space();
             expect(':');
-            map.put(name, value(depth + 1));
+            Object value = value(depth + 1);
+            if (strict && map.containsKey(name)) {
+                throw fault("'" + name + "' comes twice, the second");
+            }
+            map.put(name, value);
             space();
             if (peek() != ',') {
                 expect('}');
--- /dev/null
+++ b/src/main/java/merlinlever/routes/Rules.java
@@ -0,0 +1,125 @@
+package merlinlever.routes;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** What may be taken from a partner, and what may be passed on to another. Each rule can be left out by a test that is to notice. */
+public final class Rules {
+
+    /** On what is taken. */
+    enum Intake {
+        /** Its restrictions were not understood. */
+        UNREADABLE,
+        /** It begins at another than the publisher. */
+        FIRST,
+        /** It comes back to this site or passes one twice (RFC 4271). */
+        LOOP,
+        /** Its origin does not let this site have it. */
+        NOT_HERE,
+        /** It was not to be passed on. */
+        NO_FURTHER,
+        /** More sites on the way than its origin allows. */
+        TOO_LONG,
+        /** It went down or across before, and the publisher is not this site's provider (RFC 7908, RFC 9234). */
+        LEAK
+    }
+
+    /** On what is passed on. */
+    enum Export {
+        /** The receiver is on its way. */
+        BACK,
+        /** The origin does not let the receiver have it. */
+        NOT_THERE,
+        NO_FURTHER,
+        TOO_LONG,
+        /** Only on to customers, the origin says. */
+        CUSTOMERS_ONLY,
+        /** What is not a customer's goes to customers alone (Gao and Rexford 2001). */
+        VALLEY
+    }
+
+    private final String self;
+    private final Set<Intake> intake;
+    private final Set<Export> export;
+
+    public Rules(String self) {
+        this(self, EnumSet.noneOf(Intake.class), EnumSet.noneOf(Export.class));
+    }
+
+    /** For tests: without some of the rules. */
+    Rules(String self, Set<Intake> without, Set<Export> withoutExport) {
+        this.self = self;
+        intake = EnumSet.complementOf(without.isEmpty() ? EnumSet.noneOf(Intake.class) : EnumSet.copyOf(without));
+        export = EnumSet.complementOf(withoutExport.isEmpty() ? EnumSet.noneOf(Export.class) : EnumSet.copyOf(withoutExport));
+    }
+
+    public String self() {
+        return self;
+    }
+
+    /** Why the route may not be taken, or null. */
+    Intake refusal(String from, Relation relation, Route route) {
+        for (Intake each : intake) {
+            if (breaks(each, from, relation, route)) {
+                return each;
+            }
+        }
+        return null;
+    }
+
+    private boolean breaks(Intake rule, String from, Relation relation, Route route) {
+        Restrictions its = route.restrictions();
+        boolean passedOn = route.path().size() > 1;
+        return switch (rule) {
+            case UNREADABLE -> its.unreadable();
+            case FIRST -> !route.path().get(0).equals(from);
+            case LOOP -> route.path().contains(self) || new HashSet<>(route.path()).size() < route.path().size();
+            case NOT_HERE -> its.onlyTo() != null && !its.onlyTo().contains(self) || its.notTo().contains(self);
+            case NO_FURTHER -> its.noFurther() && passedOn;
+            case TOO_LONG -> route.path().size() > Math.min(its.mostSites(), Restrictions.MOST_SITES);
+            case LEAK -> relation == Relation.CUSTOMER && route.downFrom() != null
+                    || relation == Relation.PEER && route.downFrom() != null && !route.downFrom().equals(from)
+                    || relation != Relation.PROVIDER && its.customersOnly() && passedOn;
+        };
+    }
+
+    /** As it is kept: what came from a provider or peer without a mark gets one (RFC 9234, 5). */
+    static Route marked(String from, Relation relation, Route route) {
+        return relation == Relation.CUSTOMER || route.downFrom() != null ? route : route.with(from);
+    }
+
+    /** Why what came from a partner of that relation (null for this site's own) may not be passed on to the receiver, or null. */
+    Export refusal(Relation from, Route route, String receiver, Relation its) {
+        for (Export each : export) {
+            if (breaks(each, from, route, receiver, its)) {
+                return each;
+            }
+        }
+        return null;
+    }
+
+    private boolean breaks(Export rule, Relation from, Route route, String receiver, Relation its) {
+        Restrictions said = route.restrictions();
+        return switch (rule) {
+            case BACK -> route.path().contains(receiver);
+            case NOT_THERE -> !said.allows(receiver);
+            case NO_FURTHER -> from != null && said.noFurther();
+            // The path of this site's own begins with it already.
+            case TOO_LONG -> route.path().size() + (from == null ? 0 : 1) > Math.min(said.mostSites(), Restrictions.MOST_SITES);
+            case CUSTOMERS_ONLY -> from != null && said.customersOnly() && its != Relation.CUSTOMER;
+            case VALLEY -> its != Relation.CUSTOMER && from != null && (from != Relation.CUSTOMER || route.downFrom() != null);
+        };
+    }
+
+    /** As it is passed on: this site first on its way, taken at its own place, marked where it goes down or across (RFC 9234, 5). */
+    Route passedOn(Route route, String place, int calls, int cost, Relation receiver) {
+        List<String> path = new ArrayList<>(Collections.singleton(self));
+        path.addAll(route.path());
+        return new Route(route.tariff(), route.group(), place, Math.min(calls, route.calls()), Math.min(TableReader.MOST_COST, route.cost() + cost),
+                route.binding(), path, route.downFrom() == null && receiver != Relation.PROVIDER ? self : route.downFrom(), route.restrictions());
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/routes/Table.java
@@ -0,0 +1,55 @@
+package merlinlever.routes;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What one site publishes to another, whole. Of two of its tables the later by incarnation and then sequence counts.
+ *
+ * @param relation what the publisher is to the receiver, as the publisher sees it
+ * @param lease so long it may be used from when the publisher was last heard to stand by it
+ * @param routes by {@link Route#id}; {@link #MOST} at the most
+ */
+public record Table(String site, long incarnation, long sequence, Relation relation, Duration lease, SortedMap<String, Route> routes) {
+
+    /** Routes of one table at the most. */
+    public static final int MOST = 16_384;
+    public static final Duration SHORTEST = Duration.ofSeconds(1), LONGEST = Duration.ofHours(1);
+
+    public Table {
+        routes = Collections.unmodifiableSortedMap(new TreeMap<>(routes));
+    }
+
+    public static Table of(String site, long incarnation, long sequence, Relation relation, Duration lease, Collection<Route> routes) {
+        TreeMap<String, Route> byId = new TreeMap<>();
+        routes.forEach(route -> byId.put(route.id(), route));
+        return new Table(site, incarnation, sequence, relation, lease, byId);
+    }
+
+    public boolean after(Table other) {
+        return incarnation != other.incarnation ? incarnation > other.incarnation : sequence > other.sequence;
+    }
+
+    public boolean sameVersion(Table other) {
+        return incarnation == other.incarnation && sequence == other.sequence;
+    }
+
+    /**
+     * What both this one and the other allow, under the later version of the two; the same in any order but for that. So a
+     * tightening or a withdrawal holds at once where a loosening or a new route may not be taken on yet.
+     */
+    public Table narrowed(Table other) {
+        TreeMap<String, Route> both = new TreeMap<>();
+        routes.forEach((id, route) -> {
+            Route its = other.routes.get(id);
+            if (its != null) {
+                both.put(id, route.and(its));
+            }
+        });
+        Table later = other.after(this) ? other : this;
+        return new Table(site, later.incarnation, later.sequence, later.relation, lease.compareTo(other.lease) < 0 ? lease : other.lease, both);
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/routes/PartnerTest.java
@@ -0,0 +1,188 @@
+package merlinlever.routes;
+
+import static merlinlever.routes.MergeTest.route;
+import static merlinlever.routes.MergeTest.table;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import merlinlever.view.Seen;
+import merlinlever.view.Standing;
+import merlinlever.view.View;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** What holds of a partner's word, and for how long. */
+class PartnerTest {
+
+    private final List<String> told = new ArrayList<>();
+    private Standing standing = Standing.WHOLE;
+    private final Routes routes = fresh();
+
+    private Routes fresh() {
+        return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER)), 0.01, Damping.Figures.PUBLISHED, new Seen() {
+            @Override public Standing standing(Duration now) {
+                return standing;
+            }
+
+            @Override public Duration since() {
+                return Duration.ZERO;
+            }
+
+            @Override public View view() {
+                return View.NONE;
+            }
+        }, told::add);
+    }
+
+    private static Duration s(double seconds) {
+        return Duration.ofMillis((long) (seconds * 1000));
+    }
+
+    private void says(double at, Table table) {
+        routes.offer(s(at), table);
+        routes.stoodBy(s(at), "east", table.incarnation(), table.sequence(), TableWriter.digest(table), s(at), table.lease());
+    }
+
+    private List<Integer> costs(double at) {
+        routes.settle(s(at));
+        return routes.ways(s(at), "t/records").stream().map(each -> each.route().cost()).toList();
+    }
+
+    private static Table of(long sequence, Route... all) {
+        return table("east", sequence, Relation.PEER, all);
+    }
+
+    private static Route tight(Route route) {
+        return new Route(route.tariff(), route.group(), route.place(), route.calls(), route.cost(), route.binding(), route.path(), null,
+                new Restrictions(new TreeSet<>(List.of("other")), new TreeSet<>(), false, 16, false, false, false));
+    }
+
+    @Example void usedOnlyWhileItsLeaseHoldsAndLastWhileItIsSilent() {
+        routes.offer(s(0), of(1, route("t", 1, "east")));
+        assertEquals(List.of(), costs(0.1), "nobody knows yet whether it stands by it");
+        says(0.2, of(1, route("t", 1, "east")));
+        assertFalse(routes.stale(s(5), "east"));
+        assertTrue(routes.stale(s(5.3), "east"));
+        assertEquals(List.of(1), costs(10.0));
+        // A hundredth sooner, as this clock may be slow.
+        assertEquals(List.of(), costs(10.11));
+    }
+
+    @Example void whatComesLateTwiceOrOldWidensNothing() {
+        Table first = of(1, route("t", 1, "east")), second = of(2, tight(route("t", 1, "east")));
+        says(0, first);
+        says(1, second);
+        assertEquals(List.of(), costs(1));
+        says(2, first);
+        assertEquals(List.of(), costs(2));
+        assertEquals(1, told.stream().filter(line -> line.contains("older")).count());
+        // Nor does its lease go on where the word is of another version.
+        assertFalse(routes.stoodBy(s(3), "east", 1, 1, TableWriter.digest(first), s(3), s(10)));
+        assertFalse(routes.stoodBy(s(3), "east", 1, 2, TableWriter.digest(first), s(3), s(10)));
+    }
+
+    /** Of one version there are two: the one before runs out, in no order is either taken, and it is told. */
+    @Example void twoTablesUnderOneVersion() {
+        Table one = of(2, route("t", 1, "east"), route("t", 2, "east", "x")), other = of(2, route("t", 1, "east"), route("t", 3, "east", "y", "z"));
+        for (List<Table> order : List.of(List.of(one, other), List.of(other, one))) {
+            Routes each = fresh();
+            Table before = of(1, route("t", 1, "east"));
+            each.offer(s(0), before);
+            each.stoodBy(s(0), "east", 1, 1, TableWriter.digest(before), s(0), s(10));
+            order.forEach(table -> {
+                each.offer(s(1), table);
+                each.stoodBy(s(4), "east", 1, 2, TableWriter.digest(table), s(4), s(10));
+            });
+            each.settle(s(9));
+            assertEquals(List.of(1), each.ways(s(9), "t/records").stream().map(way -> way.route().cost()).toList());
+            each.settle(s(10));
+            assertEquals(List.of(), each.ways(s(10), "t/records"));
+            assertTrue(each.clashing("east"));
+            assertEquals(Duration.ZERO, each.holds(s(9), "east").left());
+        }
+        assertEquals(2, told.stream().filter(line -> line.contains("two tables")).count());
+    }
+
+    /** Cut off: a tightening and a withdrawal are taken, a new route and a looser one wait until enough are heard again. */
+    @Example void cutOffItOnlyNarrows() {
+        says(0, of(1, route("t", 1, "east"), tight(route("t", 2, "east", "x")), route("t", 3, "east", "x", "y")));
+        assertEquals(List.of(1, 3), costs(0));
+        standing = Standing.FEW;
+        says(1, of(2, tight(route("t", 1, "east")), route("t", 2, "east", "x"), route("t", 3, "east", "x", "y"), route("t", 4, "east", "x", "y", "z")));
+        assertEquals(List.of(3), costs(1));
+        says(2, of(3, route("t", 1, "east"), route("t", 2, "east", "x"), route("t", 4, "east", "x", "y", "z")));
+        assertEquals(List.of(), costs(2));
+        standing = Standing.MOST;
+        assertEquals(List.of(1, 2, 4), costs(3));
+        standing = Standing.RETURNING;
+        assertEquals(List.of(), costs(3));
+    }
+
+    /** Any words in any order: what is used allows no more than one that was said at most a lease before. */
+    @Property(tries = 300, seed = "43") void neverMoreThanWasSaidWithinALease(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Routes routes = fresh();
+        List<Table> said = new ArrayList<>();
+        List<Double> at = new ArrayList<>();
+        for (int step = 0; step < 60; step++) {
+            double now = step * 0.7;
+            if (chance.nextInt(3) == 0 || said.isEmpty()) {
+                Route its = route("t", said.size(), "east");
+                said.add(chance.nextInt(4) == 0 ? of(said.size() + 1) : of(said.size() + 1, chance.nextBoolean() ? its : tight(its)));
+                at.add(now);
+            }
+            standing = Standing.values()[chance.nextInt(5)];
+            int which = chance.nextInt(said.size());
+            routes.offer(s(now), said.get(which));
+            if (chance.nextInt(3) == 0) {
+                // It stands by the last alone; who hears of it counts from when it asked.
+                Table last = said.get(said.size() - 1);
+                routes.stoodBy(s(now), "east", 1, last.sequence(), TableWriter.digest(last), s(now), last.lease());
+            }
+            routes.settle(s(now));
+            for (Merge.Candidate each : routes.ways(s(now), "t/records")) {
+                int cost = each.route().cost();
+                // The latest version that it may come from was the last one at some moment of the lease before.
+                double until = cost + 1 < at.size() ? at.get(cost + 1) : now;
+                assertTrue(now - until <= 10, cost + " at " + now);
+                assertTrue(said.get(cost).routes().values().iterator().next().restrictions().allows("me"));
+            }
+        }
+    }
+
+    @Example void whatComesAndGoesIsLeftOutByThePublishedFigures() {
+        Damping damping = new Damping(Damping.Figures.PUBLISHED);
+        for (int i = 0; i < 5; i++) {
+            damping.withdrawn(s(i), "r");
+        }
+        assertFalse(damping.leftOut(s(5), "r"));
+        damping.withdrawn(s(5), "r");
+        damping.withdrawn(s(6), "r");
+        assertTrue(damping.leftOut(s(6), "r"));
+        // From under 7,000 to 750 it is a little over three half lives.
+        assertTrue(damping.leftOut(s(6 + 3 * 900), "r"));
+        assertFalse(damping.leftOut(s(6 + 3.3 * 900), "r"));
+        for (int i = 0; i < 100; i++) {
+            damping.withdrawn(s(10_000), "r");
+        }
+        assertFalse(damping.leftOut(s(10_000 + 3601), "r"), "never for more than an hour");
+        for (int i = 0; i < Damping.MOST + 100; i++) {
+            damping.changed(s(20_000), "r" + i);
+        }
+        assertEquals(Damping.MOST, damping.size());
+    }
+
+    @Example void aRouteThatComesAndGoesIsLeftOutOfTheWays() {
+        for (int i = 1; i < 16; i++) {
+            says(i, i % 2 == 1 ? of(i, route("t", 1, "east"), route("t", 2, "east", "x")) : of(i, route("t", 2, "east", "x")));
+        }
+        assertEquals(List.of(2), costs(15));
+    }
+}
