--- a/src/main/java/merlinlever/members/Link.java
+++ b/src/main/java/merlinlever/members/Link.java
@@ -1,6 +1,5 @@
 package merlinlever.members;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -86,7 +85,7 @@
         }
     }
 
-    public void close() throws IOException {
+    public void close() {
         datagrams.close();
     }
 }
--- a/src/main/java/merlinlever/recovery/disk/Writer.java
+++ b/src/main/java/merlinlever/recovery/disk/Writer.java
@@ -1,6 +1,7 @@
 package merlinlever.recovery.disk;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
@@ -15,15 +16,19 @@
     private record Job(Memory memory, Consumer<IOException> done) {
     }
 
+    private static final Job END = new Job(null, null);
+
     private final Store store;
     private final Executor loop;
-    private final LinkedBlockingQueue<Job> jobs = new LinkedBlockingQueue<>(1);
-    private boolean busy;
+    /** One to be written, and the end. */
+    private final LinkedBlockingQueue<Job> jobs = new LinkedBlockingQueue<>(2);
+    private final Thread thread;
+    private boolean busy, closed;
 
     public Writer(Store store, Executor loop) {
         this.store = store;
         this.loop = loop;
-        Thread thread = new Thread(this::work, "recovery-disk");
+        thread = new Thread(this::work, "recovery-disk");
         thread.setDaemon(true);
         thread.start();
     }
@@ -33,19 +38,38 @@
         return busy;
     }
 
-    /** Writes it unless one is under way; {@code done} hears null when it is on the disk, or what went wrong. */
+    /** Writes it unless one is under way or it was closed; {@code done} hears null when it is on the disk, or what went wrong. */
     public boolean write(Memory memory, Consumer<IOException> done) {
-        if (busy) {
+        if (busy || closed) {
             return false;
         }
         busy = true;
         return jobs.offer(new Job(memory, done));
     }
 
+    /**
+     * Begins no write from here on and waits for the one under way, so that nothing is touched in the folder after it.
+     *
+     * @param within the wait at the most; a disk may hang
+     * @return whether the last write has come to its end
+     */
+    public boolean close(Duration within) {
+        if (!closed) {
+            closed = true;
+            jobs.offer(END);
+        }
+        try {
+            thread.join(Math.max(1, within.toMillis()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return !thread.isAlive();
+    }
+
     private void work() {
         try {
-            while (true) {
-                Job job = jobs.take();
+            for (Job next = jobs.take(); next != END; next = jobs.take()) {
+                Job job = next;
                 IOException failed = null;
                 try {
                     store.write(job.memory);
--- a/src/main/java/merlinlever/recovery/net/Rejoin.java
+++ b/src/main/java/merlinlever/recovery/net/Rejoin.java
@@ -97,7 +97,7 @@
     private long term, termOnDisk;
     private Duration keyedTo = Duration.ZERO, nextMark = Duration.ZERO, since = Duration.ZERO;
     private long leadAtMark;
-    private boolean guessed, writeFailed;
+    private boolean guessed, writeFailed, closed;
 
     /**
      * Nothing is told to others before this life's incarnation is on the disk.
@@ -154,6 +154,18 @@
         link[0].leave();
     }
 
+    /**
+     * Ends this life within a process that goes on: nothing is heard, told or written after it. The folder stays its
+     * owner's to close. On the loop's thread, which waits for a write under way, {@code within} at the most.
+     *
+     * @return whether the last write has come to its end
+     */
+    public boolean close(Duration within) {
+        closed = true;
+        link[0].close();
+        return writer.close(within);
+    }
+
     private Duration now() {
         return loop.clock().uptime();
     }
@@ -185,6 +197,9 @@
     // ---- a look at all
 
     private void look() {
+        if (closed) {
+            return;
+        }
         Duration now = now();
         for (Views.Rumour each : members.views().all()) {
             if (!each.name().equals(members.views().self())) {
--- a/src/test/java/merlinlever/recovery/net/ForwardingFolder.java
+++ b/src/test/java/merlinlever/recovery/net/ForwardingFolder.java
@@ -36,4 +36,8 @@
     @Override public void force() throws IOException {
         inner.force();
     }
+
+    @Override public void close() throws IOException {
+        inner.close();
+    }
 }
--- a/src/test/java/merlinlever/recovery/net/RejoinTest.java
+++ b/src/test/java/merlinlever/recovery/net/RejoinTest.java
@@ -1,5 +1,6 @@
 package merlinlever.recovery.net;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,8 +13,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import merlinlever.durable.DiskFolder;
@@ -35,6 +38,9 @@
 
     private Path root;
     private Loop loop;
+    private Thread thread;
+    private final List<Rejoin> lives = new ArrayList<>();
+    private final List<Held> disks = new ArrayList<>();
     private final AtomicLong set = new AtomicLong();
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private volatile Duration keyedFrom, keyedTo;
@@ -79,31 +85,59 @@
     void begin() throws IOException {
         root = Files.createTempDirectory("merlinlever-rejoin");
         loop = new Loop(Clock.system(), failure -> log.add("failed: " + failure));
-        Thread thread = new Thread(loop::run, "rejoin-test");
+        thread = new Thread(loop::run, "rejoin-test");
         thread.setDaemon(true);
         thread.start();
     }
 
+    /** The folder goes when no thread writes in it any more. */
     @AfterTry
-    void end() {
+    void end() throws Exception {
+        disks.forEach(held -> held.permits.release(1_000_000));
+        for (Rejoin each : List.copyOf(lives)) {
+            end(each);
+        }
         loop.stop();
+        thread.join(10_000);
         TestFolders.remove(root);
     }
 
+    private void end(Rejoin life) throws Exception {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        loop.execute(() -> ended.complete(life.close(Duration.ofSeconds(10))));
+        assertTrue(ended.get(15, TimeUnit.SECONDS), "its last write has ended");
+        lives.remove(life);
+    }
+
+    private Held held(String folder) throws IOException {
+        Held held = new Held(new DiskFolder(root.resolve(folder)));
+        disks.add(held);
+        return held;
+    }
+
+    private static InetSocketAddress here(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
     private Rejoin make(String name, Folder folder, List<String> seeds, Rejoin.Service its) throws Exception {
+        return make(new Rejoin.Place(name, here(0), null, "-", seeds, SECRET), folder, its);
+    }
+
+    private Rejoin make(Rejoin.Place place, Folder folder, Rejoin.Service its) throws Exception {
         CountDownLatch done = new CountDownLatch(1);
         Rejoin[] made = new Rejoin[1];
         loop.execute(() -> {
             try {
-                made[0] = new Rejoin(loop, folder, new Rejoin.Place(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "-", seeds, SECRET),
+                made[0] = new Rejoin(loop, folder, place,
                         new Return.Stated(Duration.ofMillis(800), Duration.ofMillis(100), Duration.ofMillis(100), Duration.ofMillis(400), Duration.ofMillis(600), 16),
-                        Duration.ofMillis(100), 3, () -> System.currentTimeMillis() + set.get(), its, line -> log.add(name + " " + line));
+                        Duration.ofMillis(100), 3, () -> System.currentTimeMillis() + set.get(), its, line -> log.add(place.name() + " " + line));
             } catch (IOException e) {
                 log.add("failed: " + e);
             }
             done.countDown();
         });
         done.await();
+        lives.add(made[0]);
         return made[0];
     }
 
@@ -115,6 +149,14 @@
         }
     }
 
+    private Memory left(String folder) {
+        try {
+            return Store.parsed(Files.readAllBytes(root.resolve(folder).resolve(Store.FILE))).memory();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private boolean logged(String part) {
         return List.copyOf(log).stream().anyMatch(line -> line.contains(part));
     }
@@ -126,28 +168,28 @@
     @Example
     void nothingIsToldBeforeTheIncarnationIsOnTheDisk() throws Exception {
         Rejoin first = make("a", new DiskFolder(root.resolve("a")), List.of(), Rejoin.Service.NONE);
-        Held held = new Held(new DiskFolder(root.resolve("b")));
+        Held held = held("b");
         Rejoin second = make("b", held, List.of(address(first)), service);
         Thread.sleep(600);
         assertEquals(1, first.members().views().size(), "a has heard of nobody while b's disk is held");
         assertEquals(Duration.ZERO, keyedTo, "and b begins no keyed work");
-        held.permits.release(1000);
+        held.permits.release(1_000_000);
         until("a hears b", () -> first.members().views().of("b") != null);
         until("b is warm", () -> second.order().stage() == Return.Stage.WARM);
-        Memory left = Store.parsed(Files.readAllBytes(root.resolve("b").resolve(Store.FILE))).memory();
-        assertTrue(left.incarnations() >= first.members().views().of("b").incarnation());
-        assertEquals(List.of(address(first)), left.peers());
+        // Noted with the next mark, and read while marks are made.
+        until("whom to ask is noted", () -> left("b").peers().equals(List.of(address(first))));
+        assertTrue(left("b").incarnations() >= first.members().views().of("b").incarnation());
     }
 
     @Example
     void aDiskThatFailsEndsKeyedWorkAndOneThatWorksAgainBeginsIt() throws Exception {
-        Held held = new Held(new DiskFolder(root.resolve("b")));
+        Held held = held("b");
         held.permits.release(1_000_000);
         make("b", held, List.of(), service);
         until("keyed work is taken", () -> keyedTo != null && keyedTo.compareTo(loop.clock().uptime()) > 0);
         held.fails = true;
+        until("a write has failed", () -> logged("cannot be written: no space left; keyed work is turned away until it can"));
         until("the last mark has run out", () -> keyedTo.compareTo(loop.clock().uptime()) <= 0);
-        assertTrue(logged("cannot be written: no space left; keyed work is turned away until it can"));
         held.fails = false;
         until("marks are made again", () -> keyedTo.compareTo(loop.clock().uptime()) > 0);
         assertTrue(logged("it can be written again"));
@@ -155,7 +197,7 @@
 
     @Example
     void aClockThatIsSetEndsTheMarkAtOnce() throws Exception {
-        Held held = new Held(new DiskFolder(root.resolve("b")));
+        Held held = held("b");
         held.permits.release(1_000_000);
         make("b", held, List.of(), service);
         until("keyed work is taken", () -> keyedTo != null && keyedTo.compareTo(loop.clock().uptime()) > 0);
@@ -176,4 +218,20 @@
         until("one of them says so", () -> logged("another process lives under this one's name"));
         assertTrue(one.members().views().rivals() > 1 || two.members().views().rivals() > 1);
     }
+
+    @Example
+    void afterItsEndALifeWritesNothingAndADiskThatHangsHoldsTheEndNoLongerThanStated() throws Exception {
+        Held held = held("b");
+        Rejoin life = make("b", held, List.of(), service);
+        until("a write is under way", held.permits::hasQueuedThreads);
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        loop.execute(() -> ended.complete(life.close(Duration.ofMillis(200))));
+        assertEquals(false, ended.get(5, TimeUnit.SECONDS), "the disk hangs");
+        held.permits.release(1_000_000);
+        end(life);
+        byte[] left = Files.readAllBytes(root.resolve("b").resolve(Store.FILE));
+        Thread.sleep(400);
+        assertArrayEquals(left, Files.readAllBytes(root.resolve("b").resolve(Store.FILE)), "four marks later");
+        assertEquals(999_999, held.permits.availablePermits());
+    }
 }
