--- a/src/main/java/merlinlever/faults/AgentFleet.java
+++ b/src/main/java/merlinlever/faults/AgentFleet.java
@@ -6,10 +6,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,6 +21,7 @@
 import merlinlever.faults.audit.Agreement;
 import merlinlever.faults.link.Links;
 import merlinlever.faults.link.UdpSwitch;
+import merlinlever.faults.proc.Ports;
 import merlinlever.faults.proc.Processes;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
@@ -62,9 +61,9 @@
         looping.start();
         List<InetSocketAddress> real = new ArrayList<>(), fronts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            real.add(new InetSocketAddress(HERE, freePort()));
+            real.add(new InetSocketAddress(HERE, Ports.free()));
             fronts.add(new InetSocketAddress(HERE, 0));
-            apis.add(new InetSocketAddress(HERE, freePort()));
+            apis.add(new InetSocketAddress(HERE, Ports.free()));
         }
         hub = new UdpSwitch(loop, links, real, fronts, seed);
         Files.createDirectories(root);
@@ -101,25 +100,6 @@
                 "-XX:+UseSerialGC", "-Xss256k", "-Xmx96m", "-cp", String.join(java.io.File.pathSeparator, path), "merlinlever.cli.Main");
     }
 
-    /** Below those that the system gives to connections, so that none of these takes one before the process listens there. */
-    private static final int LOWEST = 12_000, PORTS = 18_000;
-    private static int nextPort = (int) (ProcessHandle.current().pid() * 397 % PORTS);
-
-    /** A port that is free for both now, and that no other fleet of this process is given. */
-    static synchronized int freePort() throws IOException {
-        for (int tries = 0; tries < PORTS; tries++) {
-            int port = LOWEST + nextPort++ % PORTS;
-            try (ServerSocket tcp = new ServerSocket(port, 1, HERE); DatagramSocket udp = new DatagramSocket(port, HERE)) {
-                if (udp.isBound()) {
-                    return tcp.getLocalPort();
-                }
-            } catch (IOException e) {
-                // In use; the next one.
-            }
-        }
-        throw new IOException("no port is free");
-    }
-
     static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/src/main/java/merlinlever/faults/PowerLoss.java
+++ b/src/main/java/merlinlever/faults/PowerLoss.java
@@ -2,14 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -178,7 +176,7 @@
     }
 
     /** Lays each folder as the loss may have left it, and spoils one as the kind says. */
-    private void lay(List<Integer> who, Kind kind, SplittableRandom chance) throws IOException {
+    private void lay(List<Integer> who, Kind kind, SplittableRandom chance) throws IOException, InterruptedException {
         for (int i : who) {
             if (Files.isDirectory(fleet.records(i))) {
                 try (Stream<Path> records = Files.list(fleet.records(i))) {
@@ -192,6 +190,9 @@
             return;
         }
         Path file = fleet.state(who.get(0)).resolve(Store.FILE);
+        if (kind == Kind.TORN || kind == Kind.EMPTIED || kind == Kind.COPIED) {
+            fleet.forgot(who.get(0));
+        }
         switch (kind) {
             case TORN -> {
                 byte[] octets = Files.exists(file) ? Files.readAllBytes(file) : new byte[1];
@@ -247,27 +248,19 @@
         return at;
     }
 
-    /** What a log line of each start says about the incarnation: it has to grow with each life of one backend. */
-    public List<String> incarnations() throws IOException {
+    /** By what passed the switch: no life of a backend told others an incarnation that one before it told. */
+    public List<String> incarnations() throws InterruptedException {
         List<String> breaches = new ArrayList<>();
-        for (int i : fleet.all()) {
-            long last = 0;
-            Set<Long> seen = new HashSet<>();
-            for (String line : Files.readAllLines(fleet.processes().log(fleet.name(i)), StandardCharsets.UTF_8)) {
-                int at = line.indexOf(" goes on at ");
-                if (at >= 0) {
-                    long now = Long.parseLong(line.substring(at + 12).strip());
-                    if (now <= last || !seen.add(now)) {
-                        breaches.add(fleet.name(i) + " began a life at incarnation " + now + " after " + last);
-                    }
-                    last = now;
-                } else if (line.contains("found incarnation: ")) {
-                    // Spoilt, emptied or of another: it rises by what the others have heard.
-                    last = 0;
-                    seen.clear();
-                }
+        fleet.on(none -> {
+            breaches.addAll(fleet.incarnations().breaches());
+            long[] counts = fleet.incarnations().counts();
+            if (counts[1] > 0) {
+                breaches.add(counts[1] + " datagrams of backends were not read by the audit");
             }
-        }
+            if (counts[0] < counts[2] && fleet.stated().recovery()) {
+                breaches.add("the audit heard " + counts[0] + " incarnations told in " + counts[2] + " lives, too few to say anything");
+            }
+        });
         return breaches;
     }
 }
--- a/src/main/java/merlinlever/faults/ServeFleet.java
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import merlinlever.durable.Folders;
+import merlinlever.faults.audit.Incarnations;
 import merlinlever.faults.audit.Rules;
 import merlinlever.faults.audit.Shares;
 import merlinlever.faults.link.Links;
@@ -22,7 +24,9 @@
 import merlinlever.faults.party.Callers;
 import merlinlever.faults.party.RenderFarm;
 import merlinlever.faults.party.SharedParty;
+import merlinlever.faults.proc.Ports;
 import merlinlever.faults.proc.Processes;
+import merlinlever.members.Wire;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
 
@@ -69,6 +73,7 @@
     private final Loop loop;
     private final UdpSwitch hub;
     private final Rules rules = new Rules();
+    private final Incarnations incarnations = new Incarnations();
     /** Null where no calls are made. */
     private final SharedParty party;
     private final Shares shares;
@@ -85,10 +90,12 @@
         List<InetSocketAddress> real = new ArrayList<>();
         List<InetSocketAddress> fronts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            real.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            real.add(new InetSocketAddress(HERE, Ports.free()));
             fronts.add(new InetSocketAddress(HERE, 0));
         }
         hub = new UdpSwitch(loop, links, real, fronts, seed);
+        Wire wire = new Wire(SECRET.getBytes(StandardCharsets.UTF_8));
+        on(none -> hub.tap((from, to, octets) -> incarnations.sent(name(from), name(to), wire.read(octets))));
         Files.createDirectories(root);
         Path secret = root.resolve("secret");
         Files.writeString(secret, SECRET);
@@ -106,8 +113,8 @@
         });
         party = shared[0];
         for (int i = 0; i < count; i++) {
-            InetSocketAddress listen = new InetSocketAddress(HERE, AgentFleet.freePort());
-            manages.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            InetSocketAddress listen = new InetSocketAddress(HERE, Ports.free());
+            manages.add(new InetSocketAddress(HERE, Ports.free()));
             String name = name(i);
             SplittableRandom its = chance.split();
             on(none -> {
@@ -254,8 +261,14 @@
         done.await();
     }
 
+    /** What the audit of the incarnations found; read on the loop's thread. */
+    public Incarnations incarnations() {
+        return incarnations;
+    }
+
     /** Starts it, the first time or again. */
     public void start(int i) throws IOException, InterruptedException {
+        between(() -> incarnations.began(name(i)));
         on(none -> {
             callers.get(i).away(false);
             farms.get(i).powerOn();
@@ -263,6 +276,27 @@
         processes.start(specs.get(i));
     }
 
+    /** The backend's disk was made such that it cannot know what it told; it does not run. */
+    public void forgot(int i) throws IOException, InterruptedException {
+        between(() -> incarnations.forgot(name(i)));
+    }
+
+    /** Between two lives of a backend: when all that the one sent has been heard. */
+    private void between(Runnable what) throws IOException, InterruptedException {
+        IOException[] failed = new IOException[1];
+        on(none -> {
+            try {
+                hub.takeIn();
+                what.run();
+            } catch (IOException e) {
+                failed[0] = e;
+            }
+        });
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+    }
+
     public boolean runs(int i) {
         return processes.starts(name(i)) > 0 && processes.seen(name(i)) == Processes.Seen.RUNNING;
     }
--- a/src/main/java/merlinlever/faults/link/UdpSwitch.java
+++ b/src/main/java/merlinlever/faults/link/UdpSwitch.java
@@ -19,6 +19,11 @@
  */
 public final class UdpSwitch implements Closeable {
 
+    /** Hears of each datagram as its sender sent it, before the links lose, delay or double it. */
+    public interface Tap {
+        void sent(int from, int to, byte[] octets);
+    }
+
     /** Datagrams held back for their delay at the most; beyond, they are lost and counted. */
     private static final int HELD = 20_000;
     private static final int LARGEST = 65_507;
@@ -29,6 +34,7 @@
     private final List<InetSocketAddress> real;
     private final Map<String, Integer> byReal = new HashMap<>();
     private final List<Datagrams> fronts = new ArrayList<>();
+    private Tap tap = (from, to, octets) -> { };
     private int held;
     private long carried, lost, strangers, overHeld;
 
@@ -68,12 +74,30 @@
         return fronts.get(i).address();
     }
 
+    /** From here on it hears of each datagram, on the loop's thread. */
+    public void tap(Tap with) {
+        tap = with;
+    }
+
+    /**
+     * Takes in all that has been sent by now, on the loop's thread. Between two lives of a member it parts what the one
+     * sent from what the other sends: a datagram on this machine is at its front before its sender goes on.
+     */
+    public void takeIn() throws IOException {
+        for (Datagrams front : fronts) {
+            if (!front.readAll()) {
+                throw new IOException("more came to a front than it can hold");
+            }
+        }
+    }
+
     private void came(int to, byte[] octets, InetSocketAddress from) {
         Integer sender = byReal.get(text(from));
         if (sender == null) {
             strangers++;
             return;
         }
+        tap.sent(sender, to, octets);
         Duration now = loop.clock().now();
         List<Duration> at = links.datagram(now, sender, to, octets.length, chance);
         if (at.isEmpty()) {
--- a/src/main/java/merlinlever/net/Datagrams.java
+++ b/src/main/java/merlinlever/net/Datagrams.java
@@ -27,6 +27,9 @@
     /** What the system keeps until it is read; the rest it drops. */
     private static final int SYSTEM_BUFFER = 1 << 20;
 
+    /** What the system counts for a datagram, at the least. */
+    private static final int LEAST = 64;
+
     private final Loop loop;
     private final DatagramChannel channel;
     private final Selector selector;
@@ -77,19 +80,37 @@
         }
     }
 
+    private boolean readOne() throws IOException {
+        in.clear();
+        InetSocketAddress from = closed ? null : (InetSocketAddress) channel.receive(in);
+        if (from == null) {
+            return false;
+        }
+        in.flip();
+        byte[] octets = new byte[in.remaining()];
+        in.get(octets);
+        Duration waited = Duration.ofNanos(Math.max(0, loop.clock().nanoTime() - readyAt));
+        loop.guarded(() -> user.came(octets, from, waited));
+        return true;
+    }
+
+    /**
+     * Reads what has come until now, on the loop's thread; so that what happens next comes after it.
+     *
+     * @return false where more came than the system's buffer can hold, and some may be there still
+     */
+    public boolean readAll() throws IOException {
+        for (int i = 0; i < SYSTEM_BUFFER / LEAST; i++) {
+            if (!readOne()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void drain() {
         try {
-            for (int i = 0; i < BATCH && !closed; i++) {
-                in.clear();
-                InetSocketAddress from = (InetSocketAddress) channel.receive(in);
-                if (from == null) {
-                    break;
-                }
-                in.flip();
-                byte[] octets = new byte[in.remaining()];
-                in.get(octets);
-                Duration waited = Duration.ofNanos(Math.max(0, loop.clock().nanoTime() - readyAt));
-                loop.guarded(() -> user.came(octets, from, waited));
+            for (int i = 0; i < BATCH && readOne(); i++) {
             }
         } catch (IOException e) {
             // Such as an answer that found nobody at its place: the next ones are read.
--- a/src/test/java/merlinlever/recovery/net/RejoinTest.java
+++ b/src/test/java/merlinlever/recovery/net/RejoinTest.java
@@ -7,12 +7,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
@@ -22,6 +24,12 @@
 import merlinlever.durable.DiskFolder;
 import merlinlever.durable.Folder;
 import merlinlever.faults.TestFolders;
+import merlinlever.faults.audit.Incarnations;
+import merlinlever.faults.link.Links;
+import merlinlever.faults.link.UdpSwitch;
+import merlinlever.faults.proc.Ports;
+import merlinlever.members.Link;
+import merlinlever.members.Wire;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
 import merlinlever.recovery.Memory;
@@ -102,6 +110,22 @@
         TestFolders.remove(root);
     }
 
+    private void on(Callable<?> what) throws Exception {
+        CompletableFuture<Throwable> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                what.call();
+                done.complete(null);
+            } catch (Exception | AssertionError e) {
+                done.complete(e);
+            }
+        });
+        Throwable failed = done.get(15, TimeUnit.SECONDS);
+        if (failed != null) {
+            throw new AssertionError(failed.getMessage(), failed);
+        }
+    }
+
     private void end(Rejoin life) throws Exception {
         CompletableFuture<Boolean> ended = new CompletableFuture<>();
         loop.execute(() -> ended.complete(life.close(Duration.ofSeconds(10))));
@@ -234,4 +258,54 @@
         assertArrayEquals(left, Files.readAllBytes(root.resolve("b").resolve(Store.FILE)), "four marks later");
         assertEquals(999_999, held.permits.availablePermits());
     }
+
+    /**
+     * A life that ends between its first line of log and its first force told nobody, so the next may begin at the same
+     * incarnation: the audit looks at what passes the switch, and finds the two apart only if the one in between tells.
+     */
+    @Example
+    void aLifeThatEndsBeforeItsForceIsRepeatedByTheNextAndHasToldNobody() throws Exception {
+        List<InetSocketAddress> real = List.of(here(Ports.free()), here(Ports.free()));
+        Incarnations audit = new Incarnations();
+        Wire wire = new Wire(SECRET.getBytes(StandardCharsets.UTF_8));
+        try (UdpSwitch hub = new UdpSwitch(loop, new Links(2), real, List.of(here(0), here(0)), 7)) {
+            hub.tap((from, to, octets) -> audit.sent(from == 0 ? "a" : "b", to == 0 ? "a" : "b", wire.read(octets)));
+            List<String> fronts = List.of(Link.text(hub.front(0)), Link.text(hub.front(1)));
+            Rejoin.Place place = new Rejoin.Place("b", real.get(1), fronts.get(1), "-", List.of(fronts.get(0)), SECRET);
+            Rejoin first = make(new Rejoin.Place("a", real.get(0), fronts.get(0), "-", List.of(fronts.get(1)), SECRET),
+                    new DiskFolder(root.resolve("a")), Rejoin.Service.NONE);
+            long[] heard = new long[1];
+            for (int life = 0; life < 3; life++) {
+                on(() -> {
+                    hub.takeIn();
+                    audit.began("b");
+                    return null;
+                });
+                Held held = held("b");
+                held.permits.release(life == 1 ? 0 : 1_000_000);
+                Rejoin its = make(place, held, service);
+                if (life == 1) {
+                    until("its write is under way", held.permits::hasQueuedThreads);
+                    // It is pinged meanwhile, and would answer.
+                    Thread.sleep(1500);
+                    held.fails = true;
+                    held.permits.release(1_000_000);
+                } else {
+                    until("a hears this life", () -> first.members().views().of("b") != null
+                            && first.members().views().of("b").incarnation() > heard[0]);
+                    heard[0] = first.members().views().of("b").incarnation();
+                }
+                end(its);
+                held.close();
+            }
+            List<String> began = List.copyOf(log).stream().filter(line -> line.startsWith("b found incarnation: ") && line.contains(" goes on at ")).toList();
+            assertEquals(2, began.size(), "" + log);
+            assertEquals(began.get(0), began.get(1), "the log tells the same of two lives");
+            on(() -> {
+                assertEquals(List.of(), audit.breaches());
+                assertTrue(audit.counts()[0] >= 4 && audit.counts()[1] == 0, "told and read");
+                return null;
+            });
+        }
+    }
 }
