--- a/src/test/java/merlinlever/shared/WordsTest.java
+++ b/src/test/java/merlinlever/shared/WordsTest.java
@@ -200,6 +200,31 @@
         }
     }
 
+    @Example
+    void oneThatStoodStillDropsTheWordsOfOthersAndDoesNotTakeWhatWaitedInItsBuffers() {
+        Words words = alone("b0", "b1");
+        words.put(Duration.ZERO, "mine", octets("m"));
+        Word other = Word.of(new Snapshot("b1", "theirs", 1, 1, octets("t")), Duration.ZERO);
+        byte[] letter = Letters.words(Duration.ZERO, List.of(other));
+        words.came(Duration.ZERO, "b1", letter);
+        assertTrue(words.of("b1", "theirs").isPresent());
+        // Half of the age, by its own clock; or less by it, as it stopped too, and the others say so.
+        words.look(Duration.ofSeconds(31));
+        assertTrue(words.of("b1", "theirs").isEmpty() && words.of("b0", "mine").isPresent());
+        words.came(Duration.ofSeconds(31), "b1", letter);
+        assertTrue(words.of("b1", "theirs").isPresent(), "it may have waited for 31 s, which is not too old");
+        words.look(Duration.ofSeconds(32));
+        words.away(Duration.ofSeconds(33));
+        assertTrue(words.of("b1", "theirs").isEmpty() && words.of("b0", "mine").isPresent());
+        Words longer = alone("b2", "b1");
+        longer.look(Duration.ofSeconds(55));
+        longer.came(Duration.ofMillis(55_100), "b1", letter);
+        assertTrue(longer.of("b1", "theirs").isEmpty(), "it may have waited for 55 s in a life of 60");
+        longer.look(Duration.ofMillis(56_100));
+        longer.came(Duration.ofMillis(56_200), "b1", letter);
+        assertTrue(longer.of("b1", "theirs").isPresent(), "what comes a second later has not waited");
+    }
+
     @Example
     void wordsOfOneThatDiedAgeOutEverywhereAndThoseOfTheLivingDoNot() {
         SharedModel fleet = new SharedModel(5, 4, SHORT);
