--- /dev/null
+++ b/src/main/java/merlinlever/routes/Own.java
@@ -0,0 +1,81 @@
+package merlinlever.routes;
+
+import java.time.Duration;
+import merlinlever.Ending;
+
+/**
+ * How this site's own records service does, by how the calls to it end: away when several in a row did not get through, slow when
+ * much of what went to it lately took too long or was given up. While it is either, a call now and then tries it.
+ */
+public final class Own {
+
+    public enum State { GOOD, SLOW, AWAY }
+
+    /**
+     * @param inARow ends that did not get through, one after the other, that make it away
+     * @param slow a call that takes longer counts as slow
+     * @param of the last so many calls are looked at, and half of them slow make it slow
+     * @param tryAgain so often a call tries it
+     * @param good tries in a row that make it good again
+     */
+    public record Stated(int inARow, Duration slow, int of, Duration tryAgain, int good) {
+        public static final Stated USUAL = new Stated(3, Duration.ofMillis(500), 32, Duration.ofMillis(500), 3);
+    }
+
+    private final Stated stated;
+    private final boolean[] slow;
+    private State state = State.GOOD;
+    private int next, slows, seen, lost, good;
+    private Duration triedAt = Duration.ZERO;
+
+    public Own(Stated stated) {
+        this.stated = stated;
+        slow = new boolean[stated.of()];
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** A call to it ended. */
+    public void ended(Duration now, Ending how, Duration took) {
+        if (how == Ending.NEVER_BEGUN || how == Ending.STOPPED) {
+            return;
+        }
+        boolean gone = how == Ending.UNREACHABLE || how == Ending.CUT_OFF;
+        boolean late = how == Ending.GIVEN_UP || took.compareTo(stated.slow()) > 0;
+        lost = gone ? lost + 1 : 0;
+        good = gone || late ? 0 : good + 1;
+        slows += (late ? 1 : 0) - (slow[next] ? 1 : 0);
+        slow[next] = late;
+        next = (next + 1) % slow.length;
+        seen = Math.min(slow.length, seen + 1);
+        if (lost >= stated.inARow()) {
+            become(State.AWAY, now);
+        } else if (state == State.GOOD && seen >= slow.length && slows * 2 >= slow.length) {
+            become(State.SLOW, now);
+        } else if (state != State.GOOD && good >= stated.good()) {
+            become(State.GOOD, now);
+            java.util.Arrays.fill(slow, false);
+            slows = 0;
+            seen = 0;
+        }
+    }
+
+    private void become(State now, Duration at) {
+        if (state != now) {
+            state = now;
+            triedAt = at;
+            good = 0;
+        }
+    }
+
+    /** Whether this call is to try it although it is not good. */
+    public boolean tries(Duration now) {
+        if (state == State.GOOD || now.minus(triedAt).compareTo(stated.tryAgain()) < 0) {
+            return false;
+        }
+        triedAt = now;
+        return true;
+    }
+}
