--- a/src/main/java/merlinlever/Operation.java
+++ b/src/main/java/merlinlever/Operation.java
@@ -3,8 +3,9 @@
 import java.time.Duration;
 
 /**
- * The handle of an operation that {@link Control#take} has taken. All that happens to the operation later is told
- * here; what is decided about it comes out of the next {@link Control#settle}, which names the handle.
+ * The handle of an operation that {@link merlinlever.policy.Control#take} has taken. All that happens to it later
+ * is told here; what is decided about it comes out of the next {@link merlinlever.policy.Control#settle}, which names
+ * the handle.
  */
 public interface Operation {
 
--- a/src/main/java/merlinlever/Settled.java
+++ b/src/main/java/merlinlever/Settled.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * What one {@link Control#settle} decided. The lists are to be carried out in the order in which they stand here and
- * each from its first entry on; every operation stands in the order that keeps the rules.
+ * What one {@link merlinlever.policy.Control#settle} decided. The lists are to be carried out in the order in which
+ * they stand here and each from its first entry on; every operation stands in the order that keeps the rules.
  */
 public final class Settled {
 
@@ -46,6 +46,6 @@
     public final List<String> log = new ArrayList<>();
     /** Nothing will name these handles again. */
     public final List<Operation> released = new ArrayList<>();
-    /** When {@link Control#look} and a settling are wanted next, or null: not before something happens. */
+    /** When a look and a settling are wanted next, or null: not before something happens. */
     public Duration nextLook;
 }
--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import merlinlever.Control;
 import merlinlever.budgets.Budget;
 import merlinlever.budgets.Sharing;
 import merlinlever.budgets.net.Budgets;
@@ -19,6 +18,7 @@
 import merlinlever.log.Log;
 import merlinlever.members.Link;
 import merlinlever.net.Loop;
+import merlinlever.policy.Control;
 import merlinlever.recovery.Return;
 import merlinlever.recovery.net.Rejoin;
 
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import merlinlever.Control;
 import merlinlever.Ending;
 import merlinlever.Operation;
+import merlinlever.policy.Control;
 
 /**
  * The real backend without its sockets: follows each operation from its reading to its one answer, through the agent
--- a/src/main/java/merlinlever/core/Conductor.java
+++ b/src/main/java/merlinlever/core/Conductor.java
@@ -5,10 +5,10 @@
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import merlinlever.Control;
 import merlinlever.Ending;
 import merlinlever.Operation;
 import merlinlever.Settled;
+import merlinlever.policy.Control;
 
 /** Drives one decision module: knows its handles, sets its alarm and carries out what it settles. */
 public final class Conductor<T> {
--- a/src/main/java/merlinlever/manage/Telling.java
+++ b/src/main/java/merlinlever/manage/Telling.java
@@ -1,7 +1,7 @@
 package merlinlever.manage;
 
 import java.util.Locale;
-import merlinlever.Control;
+import merlinlever.policy.Control;
 
 /** What an instance tells of itself, as one JSON object. */
 public final class Telling {
--- a/src/main/java/merlinlever/package-info.java
+++ b/src/main/java/merlinlever/package-info.java
@@ -1,2 +1,2 @@
-/** The decision module, {@link merlinlever.Control}, and the few small types through which it is called. */
+/** The few small types through which the decision module, {@link merlinlever.policy.Control}, is called. */
 package merlinlever;
--- /dev/null
+++ b/src/main/java/merlinlever/policy/Tariff.java
@@ -0,0 +1,43 @@
+package merlinlever.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import merlinlever.Given;
+
+/** A tariff: what is stated of it, and what the module keeps of it. Nothing is decided here. */
+final class Tariff {
+    final boolean retriable, fingerprinted;
+    final int index;
+    final Duration softLimit, clientTimeout, window;
+    final double stretch, value, lateValue, withoutCall;
+    final boolean calls;
+    final RunTimes times = new RunTimes();
+    /** Its weight in the chance of refusal. */
+    double coefficient = 1;
+
+    private Tariff(Given given, int index) {
+        String at = "tariffs." + index + ".";
+        this.index = index;
+        softLimit = given.span(at + "soft-limit", 1000);
+        clientTimeout = given.span(at + "client-timeout", 2000);
+        window = given.span(at + "window", 10000);
+        stretch = given.number(at + "soft-limit-stretch", 0);
+        value = given.number(at + "value", 1);
+        lateValue = given.number(at + "late-value", 0);
+        withoutCall = Double.parseDouble(given.nth("server.value-without-call", index, "0"));
+        calls = Boolean.parseBoolean(given.nth("server.calls-by-tariff", index, "true"));
+        String kind = given.text(at + "kind", "binding");
+        retriable = kind.equals("retriable");
+        fingerprinted = kind.equals("fingerprinted");
+    }
+
+    /** All that are stated. */
+    static List<Tariff> all(Given given) {
+        List<Tariff> tariffs = new ArrayList<>();
+        for (int i = 0; given.has("tariffs." + i + ".name"); i++) {
+            tariffs.add(new Tariff(given, i));
+        }
+        return tariffs;
+    }
+}
--- a/src/test/java/merlinlever/GuardsTest.java
+++ b/src/test/java/merlinlever/GuardsTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import merlinlever.policy.Control;
 import net.jqwik.api.Example;
 
 /** Each guard of the four rules and each failure met on the bench, by itself. */
--- a/src/test/java/merlinlever/Server.java
+++ b/src/test/java/merlinlever/Server.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import merlinlever.policy.Control;
 
 /** A module with what is stated at start, a clock, and short words for what the tests do to it. */
 final class Server {
--- /dev/null
+++ b/src/test/java/merlinlever/policy/PolicyFilesTest.java
@@ -0,0 +1,59 @@
+package merlinlever.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import net.jqwik.api.Example;
+
+/** The operators print the files that the deploy file names: all that decides is there, and within their limits. */
+final class PolicyFilesTest {
+
+    private static final Path PACKAGE = Path.of("src/main/java/merlinlever/policy");
+    private static final Set<String> HOLD_STATE = Set.of("Op.java", "Server.java", "Tariff.java", "package-info.java");
+
+    private static Set<String> named() throws IOException {
+        String row = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("policy = ")).findFirst().orElseThrow();
+        return Pattern.compile("\"([^\"]+)\"").matcher(row).results().map(m -> m.group(1))
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    @Example
+    void theDeployFileNamesAllThatDecides() throws IOException {
+        Set<String> there = new TreeSet<>();
+        try (var files = Files.list(PACKAGE)) {
+            files.filter(file -> !HOLD_STATE.contains("" + file.getFileName())).forEach(file -> there.add("" + file));
+        }
+        assertEquals(there, named());
+    }
+
+    @Example
+    void theyKeepTheLimits() throws IOException {
+        long lines = 0;
+        for (String file : named()) {
+            lines += Files.readAllLines(Path.of(file)).stream().filter(line -> !line.isBlank()).count();
+        }
+        assertTrue(lines <= 890, lines + " lines");
+        try (var files = Files.list(PACKAGE)) {
+            for (Path file : files.toList()) {
+                assertTrue(Files.readAllLines(file).stream().allMatch(line -> line.length() <= 110), "wide: " + file);
+            }
+        }
+    }
+
+    /** Every tuned value is a constant of a file that decides. */
+    @Example
+    void whatHoldsStateTunesNothing() throws IOException {
+        for (String file : HOLD_STATE) {
+            assertFalse(Files.readString(PACKAGE.resolve(file)).contains("static final"), file);
+        }
+    }
+}
