--- a/src/main/java/merlinlever/budgets/net/Budgets.java
+++ b/src/main/java/merlinlever/budgets/net/Budgets.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import merlinlever.budgets.Budget;
@@ -16,12 +15,10 @@
 /** One backend's part in the division of all budgets, on the loop and membership's datagrams. */
 public final class Budgets implements Members.Hearer {
 
-    private static final Set<String> WORDS = Set.of("V", "P", "N", "Q", "G", "H");
     private static final Duration LOOK = Duration.ofMillis(20);
 
     private final Loop loop;
     private final Rejoin rejoin;
-    private final Leading leading;
     private final Sharing sharing;
 
     /** @param life a number that no other life of this backend has */
@@ -29,10 +26,9 @@
             Consumer<String> log) {
         this.loop = loop;
         this.rejoin = rejoin;
-        this.leading = leading;
         sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, leading.terms(),
                 new SplittableRandom(seed), spender, log);
-        rejoin.members().hears(WORDS, this);
+        rejoin.members().hears(Sharing.WORDS, this);
         loop.every(LOOK, () -> say(sharing.look(loop.clock().uptime())));
     }
 
@@ -44,11 +40,7 @@
     }
 
     @Override public void said(String name, long number, String what) {
-        if (Terms.WORDS.contains(what.split("/", 2)[0])) {
-            leading.said(name, number, what);
-        } else {
-            say(sharing.said(loop.clock().uptime(), name, number, what));
-        }
+        say(sharing.said(loop.clock().uptime(), name, number, what));
     }
 
     /** See {@link Sharing#wholes}. */
--- /dev/null
+++ b/src/main/java/merlinlever/faults/ViewModel.java
@@ -0,0 +1,402 @@
+package merlinlever.faults;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import merlinlever.members.Members;
+import merlinlever.members.Views;
+import merlinlever.term.Terms;
+import merlinlever.view.Act;
+import merlinlever.view.Permits;
+import merlinlever.view.Sight;
+import merlinlever.view.Standing;
+import merlinlever.view.Stated;
+import merlinlever.view.View;
+
+/**
+ * A fleet whose nodes are the real membership, terms and views, on a network and clocks of the model's own: steps of 50 ms,
+ * datagrams late, lost, doubled, replayed and cut one way or both, processes that stand still, die and begin anew, all from a
+ * seed. At each step it holds that of one number there is one membership, that numbers only go forward at each node, over
+ * restarts too, and that one leads at the most. Virtual time.
+ */
+public final class ViewModel {
+
+    public static final int STEP = 50;
+    private static final Duration LEASE = Duration.ofSeconds(2);
+    private static final double DRIFT = 0.01;
+    /** Datagrams that a process that stands still keeps for later, at the most. */
+    private static final int KEPT = 500;
+
+    private record Datagram(int from, int to, Members.Message message) {
+    }
+
+    private record Held(Datagram datagram, long at) {
+    }
+
+    /** One process; a new life is a new one. */
+    public final class Node {
+        final int place;
+        public final String name;
+        final long offset;
+        final double rate;
+        final long began;
+        long stood;
+        public final Members members;
+        public final Terms terms;
+        /** Null where membership is alone. */
+        public final Sight sight;
+        long number;
+
+        Node(int place, String name, long incarnation) {
+            this.place = place;
+            this.name = name;
+            began = now;
+            rate = 1 + (chance.nextDouble() - 0.5) * DRIFT;
+            offset = now - chance.nextInt(100_000);
+            Duration at = clock();
+            List<String> seeds = List.of("g0", "g1", "g2");
+            members = new Members(at, new Views(name, "g" + place, "-", incarnation), Members.Stated.usual(seeds), chance.split(), line -> { });
+            long floor = onDisk[place];
+            terms = new Terms(at, name, voters, LEASE, DRIFT, floor, term -> noted(place, term), chance.split(), line -> { });
+            sight = alone ? null : new Sight(at, Stated.usual(), members.views(), terms, ++lives << 30, floor, term -> noted(place, term), chance.split(),
+                    line -> log.add(now + " " + name + " " + line));
+            members.hears(Terms.WORDS, (who, number, what) -> say(terms.said(clock(), who, number, what)));
+            if (sight != null) {
+                members.hears(Sight.WORDS, (who, number, what) -> tell(sight.said(clock(), who, number, what)));
+                members.takes((who, body) -> sight.carried(clock(), who, body));
+            }
+        }
+
+        public Duration clock() {
+            return Duration.ofNanos((long) ((now - offset - stood) * rate * 1e6));
+        }
+
+        private void say(List<Terms.Say> all) {
+            all.forEach(each -> members.say(each.to(), each.number(), each.what()));
+        }
+
+        private void tell(List<Sight.Say> all) {
+            for (Sight.Say each : all) {
+                if (each.body() != null) {
+                    members.carry(each.to(), each.body());
+                } else {
+                    members.say(each.to(), each.number(), each.what());
+                }
+            }
+        }
+
+        void look() {
+            say(terms.look(clock()));
+            if (sight != null) {
+                tell(sight.look(clock()));
+            }
+            members.settle(clock()).forEach(each -> send(place, each));
+        }
+
+        public Standing standing() {
+            return sight.standing(clock());
+        }
+
+        public boolean may(Act act) {
+            return sight.may(clock(), act) == Permits.May.YES;
+        }
+    }
+
+    final SplittableRandom chance;
+    public final int n;
+    public final List<String> voters = new ArrayList<>();
+    private final boolean alone;
+    public final Node[] nodes;
+    private final long[] onDisk, wanted, diskAt, incarnation, pausedUntil;
+    private final boolean[] frozen;
+    private final boolean[][] cut;
+    private final TreeMap<Long, List<Datagram>> net = new TreeMap<>();
+    private final List<ArrayDeque<Held>> held = new ArrayList<>();
+    private final List<Datagram> old = new ArrayList<>();
+    public double loss;
+    public double replays;
+    /** Added to each delay. */
+    public int slow;
+    public long now, octets, octetsOfMembers, datagrams;
+    private long lives;
+    /** Every membership that was numbered, and what was found that may not be. */
+    public final TreeMap<Long, View> numbered = new TreeMap<>();
+    public final List<String> breaches = new ArrayList<>();
+    public final ArrayDeque<String> log = new ArrayDeque<>();
+    private final Map<String, Long> highest = new TreeMap<>();
+
+    /** @param alone membership without views */
+    public ViewModel(long seed, int n, int voters, boolean alone) {
+        chance = new SplittableRandom(seed);
+        this.n = n;
+        this.alone = alone;
+        nodes = new Node[n];
+        onDisk = new long[n];
+        wanted = new long[n];
+        diskAt = new long[n];
+        incarnation = new long[n];
+        pausedUntil = new long[n];
+        frozen = new boolean[n];
+        cut = new boolean[n][n];
+        for (int i = 0; i < n; i++) {
+            held.add(new ArrayDeque<>());
+        }
+        for (int i = 0; i < voters; i++) {
+            this.voters.add(name(i));
+        }
+    }
+
+    public static String name(int i) {
+        return "b" + i;
+    }
+
+    /** Starts it, or starts it anew after {@link #kill}. */
+    public void start(int i) {
+        start(i, name(i));
+    }
+
+    public void start(int i, String name) {
+        incarnation[i] += 64;
+        pausedUntil[i] = 0;
+        held.get(i).clear();
+        nodes[i] = new Node(i, name, incarnation[i]);
+    }
+
+    public void startAll() {
+        for (int i = 0; i < n; i++) {
+            start(i);
+        }
+    }
+
+    public void kill(int i) {
+        nodes[i] = null;
+        wanted[i] = onDisk[i];
+    }
+
+    /** It stands still for so long; its steady clock goes on, or stands still with it where it is frozen. */
+    public void pause(int i, long ms, boolean still) {
+        pausedUntil[i] = now + ms;
+        frozen[i] = still;
+    }
+
+    public boolean runs(int i) {
+        return nodes[i] != null && now >= pausedUntil[i];
+    }
+
+    public void cut(int from, int to, boolean is) {
+        cut[from][to] = is;
+    }
+
+    /** Each to a side; a datagram passes within one alone. */
+    public void sides(int... side) {
+        for (int i = 0; i < n; i++) {
+            for (int k = 0; k < n; k++) {
+                cut[i][k] = side[i] != side[k];
+            }
+        }
+    }
+
+    public void heal() {
+        for (boolean[] each : cut) {
+            java.util.Arrays.fill(each, false);
+        }
+        slow = 0;
+        loss = 0;
+        replays = 0;
+    }
+
+    private boolean noted(int i, long term) {
+        if (term > wanted[i]) {
+            wanted[i] = term;
+            diskAt[i] = now + chance.nextInt(100);
+        }
+        return term <= onDisk[i];
+    }
+
+    // ---- the network
+
+    private void send(int from, Members.Sending sending) {
+        int to = Integer.parseInt(sending.to().substring(1));
+        Members.Message message = sending.message();
+        // As the wire has it; the heads of UDP and IP come on top.
+        int size = 32 + message.from().length() + message.about().length() + (message.body() == null ? 0 : message.body().length + 4);
+        for (Views.Rumour rumour : message.rumours()) {
+            size += 12 + rumour.name().length() + rumour.gossip().length() + rumour.api().length();
+        }
+        octets += size;
+        datagrams++;
+        octetsOfMembers += message.kind().compareTo(Members.Kind.SAY) < 0 ? size : 0;
+        Datagram datagram = new Datagram(from, to, message);
+        if (replays > 0) {
+            if (old.size() < 2000) {
+                old.add(datagram);
+            } else {
+                old.set(chance.nextInt(old.size()), datagram);
+            }
+        }
+        if (to >= n || cut[from][to] || chance.nextDouble() < loss) {
+            return;
+        }
+        for (int copies = chance.nextInt(50) == 0 ? 2 : 1; copies > 0; copies--) {
+            int late = slow + 1 + chance.nextInt(chance.nextInt(50) == 0 ? 500 : 30);
+            net.computeIfAbsent((now + late + STEP - 1) / STEP * STEP, at -> new ArrayList<>()).add(datagram);
+        }
+    }
+
+    private void arrive(Datagram datagram) {
+        if (nodes[datagram.to] == null) {
+            return;
+        }
+        if (now < pausedUntil[datagram.to]) {
+            if (held.get(datagram.to).size() < KEPT) {
+                held.get(datagram.to).add(new Held(datagram, now));
+            }
+            return;
+        }
+        nodes[datagram.to].members.heard(nodes[datagram.to].clock(), "g" + datagram.from, datagram.message);
+    }
+
+    public void run(long ms) {
+        for (long until = now + ms; now < until;) {
+            step();
+        }
+    }
+
+    public void step() {
+        now += STEP;
+        for (int i = 0; i < n; i++) {
+            if (wanted[i] > onDisk[i] && now >= diskAt[i]) {
+                onDisk[i] = wanted[i];
+            }
+            if (nodes[i] != null && now < pausedUntil[i] && frozen[i]) {
+                nodes[i].stood += STEP;
+            }
+        }
+        while (!net.isEmpty() && net.firstKey() <= now) {
+            net.pollFirstEntry().getValue().forEach(this::arrive);
+        }
+        if (replays > 0 && !old.isEmpty() && chance.nextDouble() < replays) {
+            Datagram again = old.get(chance.nextInt(old.size()));
+            if (!cut[again.from][again.to]) {
+                arrive(again);
+            }
+        }
+        for (int i = 0; i < n; i++) {
+            if (runs(i)) {
+                // What came meanwhile is read before anything else, or after the first look: both are met.
+                boolean lookFirst = chance.nextBoolean();
+                if (lookFirst && !held.get(i).isEmpty()) {
+                    nodes[i].look();
+                }
+                while (!held.get(i).isEmpty()) {
+                    arrive(held.get(i).poll().datagram);
+                }
+                nodes[i].look();
+            }
+        }
+        if (!alone) {
+            check();
+        }
+    }
+
+    // ---- what is held to be so at each step
+
+    private void check() {
+        String leader = null;
+        for (Node node : nodes) {
+            if (node == null) {
+                continue;
+            }
+            View view = node.sight.view();
+            View same = numbered.putIfAbsent(view.number(), view);
+            if (same != null && !same.members().equals(view.members())) {
+                breaches.add(now + " ms: " + node.name + " holds another membership under " + view.told());
+            }
+            if (view.number() != node.number) {
+                String whose = node.place + node.name;
+                // A life that holds nothing yet has gone nowhere.
+                if (view.number() < highest.getOrDefault(whose, 0L)) {
+                    breaches.add(now + " ms: " + node.name + " went back to " + view.told());
+                }
+                highest.merge(whose, view.number(), Math::max);
+                node.number = view.number();
+            }
+            if (node.terms.leads(node.clock())) {
+                if (leader != null) {
+                    breaches.add(now + " ms: " + leader + " and " + node.name + " lead");
+                }
+                leader = node.name;
+            }
+        }
+        while (log.size() > 400) {
+            log.removeFirst();
+        }
+    }
+
+    /** Who leads, or -1. */
+    public int leader() {
+        for (int i = 0; i < n; i++) {
+            if (nodes[i] != null && nodes[i].terms.leads(nodes[i].clock())) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** Memberships that followed on another one since that number. */
+    public int changesSince(long number) {
+        int changes = 0;
+        View before = numbered.get(number);
+        for (View view : numbered.tailMap(number, false).values()) {
+            changes += before != null && before.members().equals(view.members()) ? 0 : 1;
+            before = view;
+        }
+        return changes;
+    }
+
+    public long highest() {
+        return numbered.isEmpty() ? 0 : numbered.lastKey();
+    }
+
+    /** Whether all that run hold one view of exactly these places. */
+    public boolean agreed(TreeSet<String> members) {
+        View view = null;
+        for (int i = 0; i < n; i++) {
+            if (runs(i)) {
+                View its = nodes[i].sight.view();
+                if (!its.members().equals(members) || view != null && view.number() != its.number()) {
+                    return false;
+                }
+                view = its;
+            }
+        }
+        return view != null;
+    }
+
+    /** The names of those that run. */
+    public TreeSet<String> running() {
+        TreeSet<String> names = new TreeSet<>();
+        for (int i = 0; i < n; i++) {
+            if (runs(i)) {
+                names.add(nodes[i].name);
+            }
+        }
+        return names;
+    }
+
+    /** Runs until all that run hold one view of just those, and returns how long it took; -1 where it did not come to that. */
+    public long untilAgreed(long most) {
+        for (long began = now; now - began < most;) {
+            if (agreed(running())) {
+                return now - began;
+            }
+            step();
+        }
+        return -1;
+    }
+}
--- a/src/main/java/merlinlever/term/Election.java
+++ b/src/main/java/merlinlever/term/Election.java
@@ -33,7 +33,7 @@
 
     /** As a candidate or leader: its term, its questions that are out, and when the promises that it has were asked for. */
     private long term;
-    private boolean leads;
+    private boolean leads, tries;
     private long numbers;
     private final Map<Long, Duration> out = new HashMap<>();
     private final Map<String, Duration> promisedSince = new HashMap<>();
@@ -83,6 +83,7 @@
         promisedUntil = now.plus(lease);
         heardTerm = Math.max(heardTerm, asked);
         if (!to.equals(self)) {
+            tries = false;
             nextAsk = promisedUntil.plus(drawn());
         }
     }
@@ -113,19 +114,39 @@
             }
             // A new attempt is a new term: answers to the one before say nothing of it.
             term = Math.max(Math.max(term, promised), heardTerm) + 1;
+            tries = true;
             promisedSince.clear();
             out.clear();
+            if (self.equals(promisedTo)) {
+                // It can no longer lead by that one, so it holds nobody else off.
+                promisedUntil = now;
+            }
         }
         nextAsk = now.plus(leads ? lease.dividedBy(4) : lease.dividedBy(2).plus(drawn()));
         for (String voter : voters) {
-            long number = ++numbers;
-            out.put(number, now);
-            asks.add(new Ask(voter, term, number));
+            if (leads || !voter.equals(self)) {
+                long number = ++numbers;
+                out.put(number, now);
+                asks.add(new Ask(voter, term, number));
+            }
         }
         out.values().removeIf(at -> now.minus(at).compareTo(lease) >= 0);
         return asks;
     }
 
+    /**
+     * Its own promise comes last, once the others' suffice with it, or null: so those that tried in vain are free to promise
+     * whoever did not, and voters that begin together do not hold each other off for good.
+     */
+    public Ask own(Duration now) {
+        if (leads || !tries || promisedSince.containsKey(self) || promisedSince.size() + 1 <= voters.size() / 2) {
+            return null;
+        }
+        long number = ++numbers;
+        out.put(number, now);
+        return new Ask(self, term, number);
+    }
+
     /** The voter has promised; counts from when it was asked, which was before it promised. */
     public void promisedBy(Duration now, String voter, long asked, long number) {
         Duration at = out.get(number);
@@ -135,6 +156,7 @@
         promisedSince.merge(voter, at, (a, b) -> a.compareTo(b) > 0 ? a : b);
         if (!leads && leadsUntil() != null && now.compareTo(leadsUntil()) < 0) {
             leads = true;
+            tries = false;
             nextAsk = now;
         }
     }
@@ -146,7 +168,8 @@
 
     /** Until when more than half of the promises hold at the least, by any clock; null without them. */
     private Duration leadsUntil() {
-        if (promisedSince.size() <= voters.size() / 2) {
+        // Its own promise is needed: so the term is on its own disk, and no later life of it comes to the same term again.
+        if (promisedSince.size() <= voters.size() / 2 || !promisedSince.containsKey(self)) {
             return null;
         }
         Duration[] since = promisedSince.values().toArray(new Duration[0]);
--- a/src/main/java/merlinlever/term/Terms.java
+++ b/src/main/java/merlinlever/term/Terms.java
@@ -64,6 +64,7 @@
                 out.add(new Say(ask.to(), ask.number(), "V/" + ask.term()));
             }
         }
+        own(now);
         Leader leader = election.leader(now);
         String told = leader == null ? "" : leader.name() + ", term " + leader.term();
         if (!told.equals(lastLeader)) {
@@ -73,6 +74,13 @@
         return said();
     }
 
+    private void own(Duration now) {
+        Election.Ask own = election.own(now);
+        if (own != null) {
+            vote(now, self, own.term(), own.number());
+        }
+    }
+
     private List<Say> said() {
         List<Say> all = List.copyOf(out);
         out.clear();
@@ -105,7 +113,10 @@
         try {
             switch (part[0]) {
                 case "V" -> vote(now, name, Long.parseLong(part[1]), number);
-                case "P" -> election.promisedBy(now, name, Long.parseLong(part[1]), number);
+                case "P" -> {
+                    election.promisedBy(now, name, Long.parseLong(part[1]), number);
+                    own(now);
+                }
                 case "N" -> election.refused(now, Long.parseLong(part[1]));
                 case "H" -> {
                     if (election.voters().contains(part[2])) {
--- a/src/main/java/merlinlever/term/net/Leading.java
+++ b/src/main/java/merlinlever/term/net/Leading.java
@@ -24,6 +24,7 @@
         this.rejoin = rejoin;
         terms = new Terms(loop.clock().uptime(), rejoin.members().views().self(), voters, lease, drift, rejoin.term(), rejoin::noted,
                 new SplittableRandom(seed), log);
+        rejoin.members().hears(Terms.WORDS, this);
         loop.every(LOOK, () -> say(terms.look(loop.clock().uptime())));
     }
 
--- a/src/main/java/merlinlever/view/View.java
+++ b/src/main/java/merlinlever/view/View.java
@@ -1,6 +1,10 @@
 package merlinlever.view;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.Collections;
+import java.util.HexFormat;
 import java.util.SortedSet;
 import java.util.TreeSet;
 
@@ -15,6 +19,8 @@
 
     public static final View NONE = new View(0, "-", Collections.emptySortedSet());
     private static final int COUNTS = 20;
+    /** Members at the most; more names would not fit one body. */
+    public static final int MOST = 1000;
 
     public View {
         members = Collections.unmodifiableSortedSet(new TreeSet<>(members));
@@ -25,7 +31,41 @@
         return term << COUNTS | count;
     }
 
+    /** Whether the term has a number left for a count-th view. */
+    public static boolean has(int count) {
+        return count < 1 << COUNTS;
+    }
+
+    /** Of that number and these members, with their digest. */
+    public static View of(long number, SortedSet<String> members) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            sha.update((number + "\n" + String.join("\n", members)).getBytes(StandardCharsets.US_ASCII));
+            return new View(number, HexFormat.of().formatHex(sha.digest(), 0, 6), members);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     public long term() {
+        return term(number);
+    }
+
+    static long term(long number) {
         return number >> COUNTS;
     }
+
+    /** The term and the place within it. */
+    public String place() {
+        return place(number);
+    }
+
+    static String place(long number) {
+        return (number >> COUNTS) + "." + (number & (1 << COUNTS) - 1);
+    }
+
+    /** As operators see it. */
+    public String told() {
+        return number == 0 ? "none" : place() + " (" + digest + ", " + members.size() + " members)";
+    }
 }
--- /dev/null
+++ b/src/main/java/merlinlever/view/net/package-info.java
@@ -0,0 +1,2 @@
+/** A backend's sight of the fleet, over membership's datagrams. */
+package merlinlever.view.net;
--- a/src/test/java/merlinlever/cli/RunLineTest.java
+++ b/src/test/java/merlinlever/cli/RunLineTest.java
@@ -32,7 +32,7 @@
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
     private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"");
     /** Packages of ours and libraries that `serve` must never load. */
-    private static final Pattern FOREIGN = Pattern.compile("^(merlinlever\\.(host|members|recovery|budgets|zone|sheet|measure|faults|durable|cli\\.faults|cli\\.fleet"
+    private static final Pattern FOREIGN = Pattern.compile("^(merlinlever\\.(host|members|recovery|budgets|term|view|zone|sheet|measure|faults|durable|cli\\.faults|cli\\.fleet"
             + "|cli\\.zone)\\.|merlinlever\\.cli\\.Recovering|picocli\\.|org\\.xbill\\.|ch\\.qos\\.|org\\.slf4j\\.|com\\.networknt\\.|io\\.micrometer\\."
             + "|org\\.knowm\\.|org\\.HdrHistogram\\.|java\\.lang\\.ProcessImpl|java\\.lang\\.ProcessBuilder)");
 
