--- a/src/main/java/merlinlever/budgets/Sharing.java
+++ b/src/main/java/merlinlever/budgets/Sharing.java
@@ -8,6 +8,9 @@
 import java.util.function.Consumer;
 import merlinlever.term.Leadership;
 import merlinlever.term.Terms;
+import merlinlever.view.Act;
+import merlinlever.view.Permits;
+import merlinlever.view.Seen;
 
 /**
  * One backend's part in the division of all budgets: divides where it leads, asks whoever leads for its shares, and tells
@@ -45,6 +48,8 @@
     private final Spender spender;
     private final Consumer<String> log;
     private long bookTerm = -1;
+    /** Null where there is no view of the fleet; then terms alone say who may give. */
+    private Seen seen;
     private Duration nextTurn = Duration.ZERO;
     private final List<Terms.Say> out = new ArrayList<>();
 
@@ -69,6 +74,11 @@
         }
     }
 
+    /** From here on it gives shares only while its standing among the others lets it. */
+    public void under(Seen with) {
+        seen = with;
+    }
+
     /** The wholes were changed; a share over a smaller one is given back as the leases run out. */
     public void wholes(List<Budget> changed) {
         for (int i = 0; i < budgets.size(); i++) {
@@ -135,7 +145,7 @@
             return;
         }
         if (leader.name().equals(self)) {
-            Book.Grant grant = books.isEmpty() ? null : books.get(i).grant(now, new Book.Request(self, life, ask.grant(), ask.held(), ask.inUse(), ask.wanted()));
+            Book.Grant grant = grant(now, i, new Book.Request(self, life, ask.grant(), ask.held(), ask.inUse(), ask.wanted()));
             if (grant != null) {
                 holdings.get(i).granted(now, leader.term(), ask.number(), grant.number(), grant.amount());
             }
@@ -145,6 +155,11 @@
         }
     }
 
+    private Book.Grant grant(Duration now, int budget, Book.Request request) {
+        boolean may = seen == null || seen.may(now, Act.GRANT) == Permits.May.YES;
+        return books.isEmpty() || !may ? null : books.get(budget).grant(now, request);
+    }
+
     /** A leadership begins with books that know nothing of the one before. */
     private void books(Duration now) {
         if (!terms.leads(now)) {
@@ -209,7 +224,7 @@
         if (i < 0) {
             return;
         }
-        Book.Grant grant = books.get(i).grant(now, new Book.Request(name, Long.parseUnsignedLong(part[3], 16), Long.parseLong(part[4]), Long.parseLong(part[5]),
+        Book.Grant grant = grant(now, i, new Book.Request(name, Long.parseUnsignedLong(part[3], 16), Long.parseLong(part[4]), Long.parseLong(part[5]),
                 Long.parseLong(part[6]), Long.parseLong(part[7])));
         if (grant != null) {
             say(name, number, "G/" + bookTerm + "/" + part[2] + "/" + grant.number() + "/" + grant.amount());
--- a/src/main/java/merlinlever/budgets/net/Budgets.java
+++ b/src/main/java/merlinlever/budgets/net/Budgets.java
@@ -12,6 +12,7 @@
 import merlinlever.recovery.net.Rejoin;
 import merlinlever.term.Terms;
 import merlinlever.term.net.Leading;
+import merlinlever.view.Seen;
 
 /** One backend's part in the division of all budgets, on the loop and membership's datagrams. */
 public final class Budgets implements Members.Hearer {
@@ -24,12 +25,13 @@
     private final Sharing sharing;
 
     /** @param life a number that no other life of this backend has */
-    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, Leading leading, long life, long seed, Sharing.Spender spender,
+    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, Leading leading, Seen seen, long life, long seed, Sharing.Spender spender,
             Consumer<String> log) {
         this.loop = loop;
         this.rejoin = rejoin;
         sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, leading.terms(),
                 new SplittableRandom(seed), spender, log);
+        sharing.under(seen);
         rejoin.members().hears(WORDS, this);
         loop.every(LOOK, () -> say(sharing.look(loop.clock().uptime())));
     }
--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -108,7 +108,8 @@
     }
 
     @Override public void keyed(Duration from, Duration to) {
-        backend.keyed(ofModule(loop, from), ofModule(loop, to));
+        boolean may = together == null || together.mayKeyed();
+        backend.keyed(ofModule(loop, from), ofModule(loop, may ? to : Duration.ZERO));
     }
 
     @Override public void guess(double capacity, double completions) {
--- a/src/main/java/merlinlever/cli/Together.java
+++ b/src/main/java/merlinlever/cli/Together.java
@@ -13,15 +13,20 @@
 import merlinlever.net.Loop;
 import merlinlever.recovery.net.Rejoin;
 import merlinlever.term.net.Leading;
+import merlinlever.view.Act;
+import merlinlever.view.Permits;
+import merlinlever.view.Stated;
+import merlinlever.view.net.Viewing;
 
 /**
- * What one backend decides and shares with the others of its fleet: who leads, limits of the whole fleet. Only where its
+ * What one backend decides and shares with the others of its fleet: who leads, who is there, limits of the whole fleet. Only where its
  * configuration names {@code recovery.voters}; elsewhere this class is never loaded.
  */
 final class Together implements Sharing.Spender {
 
     private final Loop loop;
     private final Backend backend;
+    private final Viewing viewing;
     /** Null where no limit is shared with the others. */
     private final Budgets budgets;
 
@@ -31,14 +36,15 @@
         List<Budget> shared = budgets(rest);
         List<String> voters = List.of(rest.getOrDefault("recovery.voters", "").split(","));
         if (voters.contains("")) {
-            throw new Serve.Unusable("with budgets the configuration's recovery.voters names who may divide them, the same everywhere");
+            throw new Serve.Unusable("with budgets the configuration's recovery.voters names who may lead, the same everywhere");
         }
         // Who this life is: no other of this backend began in the same millisecond with the same pid.
         long life = System.currentTimeMillis() << 20 ^ ProcessHandle.current().pid();
         Duration lease = shared.isEmpty() ? text(rest, "recovery.lease", "2s") : shared.get(0).lease();
         double drift = shared.isEmpty() ? 0.01 : shared.get(0).drift();
         Leading leading = new Leading(loop, rejoin, voters, lease, drift, seed, told);
-        budgets = shared.isEmpty() ? null : new Budgets(loop, rejoin, shared, leading, life, seed, this, told);
+        viewing = new Viewing(loop, rejoin, leading.terms(), Stated.usual(), life, seed, told);
+        budgets = shared.isEmpty() ? null : new Budgets(loop, rejoin, shared, leading, viewing.seen(), life, seed, this, told);
     }
 
     /** The limits of the whole fleet, as the configuration has them; checked here, as serve loads no schema. */
@@ -91,6 +97,11 @@
         return span;
     }
 
+    /** Whether binding and fingerprinted work may be begun, as far as the others are concerned. */
+    boolean mayKeyed() {
+        return viewing.seen().may(loop.clock().uptime(), Act.KEYED) == Permits.May.YES;
+    }
+
     void reread(Map<String, String> rest) throws Serve.Unusable {
         if (budgets != null) {
             budgets.wholes(budgets(rest));
@@ -112,6 +123,6 @@
 
     /** Further members of the JSON object that tells how far this one has come. */
     String json() {
-        return budgets == null ? "" : ",\"budgets\":" + budgets.json();
+        return ",\"view\":" + viewing.json() + (budgets == null ? "" : ",\"budgets\":" + budgets.json());
     }
 }
--- a/src/main/java/merlinlever/host/run/Visit.java
+++ b/src/main/java/merlinlever/host/run/Visit.java
@@ -112,7 +112,7 @@
         }
         JsonNode seen = node.path("recovery").path("view");
         Told.View view = !seen.isObject() ? null : new Told.View(seen.path("standing").asText(), seen.path("since_ms").asLong(),
-                seen.path("number").asLong(), seen.path("digest").asText());
+                seen.path("view").asText(), seen.path("digest").asText());
         return new Told(node.required("phase").asText(), node.path("healthy").asBoolean(), node.path("hung").asBoolean(), node.path("held").asInt(),
                 node.path("running").asInt(), node.path("in_hand").asInt(), node.path("capacity").asDouble(Double.NaN), node.path("avg").asDouble(),
                 node.path("level").asDouble(), reasons, node.path("broken_off").asLong(), shares, view);
--- a/src/main/java/merlinlever/host/state/Told.java
+++ b/src/main/java/merlinlever/host/state/Told.java
@@ -21,7 +21,7 @@
     }
 
     /** How far its word goes since when, and which view of the fleet it holds. */
-    public record View(String standing, long sinceMs, long number, String digest) {
+    public record View(String standing, long sinceMs, String number, String digest) {
     }
 
     public Told(String phase, boolean healthy, boolean hung, int held, int running, int inHand, double capacity, double avg, double level,
