--- /dev/null
+++ b/src/test/java/merlinlever/shared/DecreeTest.java
@@ -0,0 +1,464 @@
+package merlinlever.shared;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import merlinlever.term.Leadership;
+import merlinlever.view.Seen;
+import merlinlever.view.Standing;
+import merlinlever.view.View;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class DecreeTest {
+
+    private static byte[] octets(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    // ---- every state of three voters and two leaders that want two values
+
+    private enum Fault { NONE, ANSWER_BEFORE_FORCE, SKIP_ASKING, ACCEPT_OLDER }
+
+    /** Of each voter memory, disk and answers that wait for it; all answers ever sent; the value of each term. By their numbers in {@link Walk}. */
+    private record State(int m0, int m1, int m2, int d0, int d1, int d2, long w0, long w1, long w2, long net, int value1, int value2) {
+        int memory(int v) {
+            return v == 0 ? m0 : v == 1 ? m1 : m2;
+        }
+
+        int disk(int v) {
+            return v == 0 ? d0 : v == 1 ? d1 : d2;
+        }
+
+        long waiting(int v) {
+            return v == 0 ? w0 : v == 1 ? w1 : w2;
+        }
+
+        State with(int v, int memory, int disk, long waits, long sent) {
+            return new State(v == 0 ? memory : m0, v == 1 ? memory : m1, v == 2 ? memory : m2, v == 0 ? disk : d0, v == 1 ? disk : d1, v == 2 ? disk : d2,
+                    v == 0 ? waits : w0, v == 1 ? waits : w1, v == 2 ? waits : w2, net | sent, value1, value2);
+        }
+
+        State proposed(int t, int value) {
+            return new State(m0, m1, m2, d0, d1, d2, w0, w1, w2, net, t == 0 ? value : value1, t == 1 ? value : value2);
+        }
+    }
+
+    private static Ballots ballots(String text) {
+        return Ballots.parsed(octets(text));
+    }
+
+    private static String text(Ballots ballots) {
+        return new String(ballots.octets(), StandardCharsets.ISO_8859_1);
+    }
+
+    /** What a voter does when it is asked (its memory after it, and the answer or an empty one); worked out once for each. */
+    private static String[] answered(Map<String, String[]> known, Fault fault, String memory, String ask, String value) {
+        return known.computeIfAbsent(memory + ask + value, none -> {
+            Ballots voter = ballots(memory);
+            int term = ask.charAt(1) - '0';
+            if (ask.charAt(0) == 'P') {
+                boolean promises = voter.promise(term);
+                Ballots.Entry entry = voter.get("end");
+                return new String[] {text(voter), promises ? "R" + term + (entry == null ? "0-" : entry.term() + new String(entry.value(), StandardCharsets.US_ASCII)) : ""};
+            }
+            if (fault == Fault.ACCEPT_OLDER && term < voter.promised()) {
+                Ballots careless = new Ballots();
+                careless.recovered(0, voter.entries());
+                voter = careless;
+            }
+            return new String[] {voter.accept(term, "end", octets(value)) ? text(voter) : memory, text(voter).equals(memory) && voter.promised() > term ? "" : "A" + term};
+        });
+    }
+
+    private static int number(List<String> all, String one) {
+        if (!all.contains(one)) {
+            all.add(one);
+        }
+        return all.indexOf(one);
+    }
+
+    /** Walks them all; says how many there are and in how many a value was written, and throws where two are. */
+    private static int[] walk(Fault fault) {
+        List<String> memories = new ArrayList<>(List.of(text(new Ballots())));
+        List<String> answers = new ArrayList<>();
+        List<String> values = List.of("", "x", "y");
+        Map<String, String[]> known = new HashMap<>();
+        State first = new State(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, fault == Fault.SKIP_ASKING ? 1 : 0, fault == Fault.SKIP_ASKING ? 2 : 0);
+        Set<State> seen = new HashSet<>(Set.of(first));
+        ArrayDeque<State> open = new ArrayDeque<>(List.of(first));
+        int written = 0;
+        while (!open.isEmpty()) {
+            State state = open.poll();
+            List<State> then = new ArrayList<>();
+            int[] value = {state.value1, state.value2};
+            List<List<String>> told = List.of(new ArrayList<>(), new ArrayList<>());
+            int[] accepted = new int[2];
+            for (int i = 0; i < answers.size(); i++) {
+                if ((state.net >>> i & 1) == 1) {
+                    int t = answers.get(i).charAt(1) - '1';
+                    accepted[t] += answers.get(i).charAt(0) == 'A' ? 1 : 0;
+                    if (answers.get(i).charAt(0) == 'R') {
+                        told.get(t).add(answers.get(i));
+                    }
+                }
+            }
+            written += accepted[0] > 1 || accepted[1] > 1 ? 1 : 0;
+            assertFalse(accepted[0] > 1 && accepted[1] > 1 && value[0] != value[1], "two values are written");
+            for (int v = 0; v < 3; v++) {
+                int memory = state.memory(v);
+                if (memory != state.disk(v) || state.waiting(v) != 0) {
+                    then.add(state.with(v, memory, memory, 0, state.waiting(v)));
+                    then.add(state.with(v, state.disk(v), state.disk(v), 0, 0));
+                }
+                // What is taken while another waits for the disk comes to what is taken after it, as either is lost or not.
+                for (int t = 0; t < 2 && state.waiting(v) == 0; t++) {
+                    for (String ask : value[t] == 0 ? List.of("P" + (t + 1)) : List.of("P" + (t + 1), "A" + (t + 1))) {
+                        String[] does = answered(known, fault, memories.get(memory), ask, values.get(value[t]));
+                        long answer = does[1].isEmpty() ? 0 : 1L << number(answers, does[1] + v);
+                        boolean early = fault == Fault.ANSWER_BEFORE_FORCE;
+                        then.add(state.with(v, number(memories, does[0]), state.disk(v), state.waiting(v) | (early ? 0 : answer), early ? answer : 0));
+                    }
+                }
+            }
+            for (int t = 0; t < 2; t++) {
+                for (String one : told.get(t)) {
+                    for (String other : told.get(t)) {
+                        if (value[t] == 0 && one.charAt(4) < other.charAt(4)) {
+                            byte[] safe = Ballots.safe(List.of(entry(one), entry(other)), octets(values.get(t + 1)));
+                            then.add(state.proposed(t, values.indexOf(new String(safe, StandardCharsets.US_ASCII))));
+                        }
+                    }
+                }
+            }
+            then.stream().filter(seen::add).forEach(open::add);
+        }
+        assertTrue(answers.size() < 60);
+        return new int[] {seen.size(), written};
+    }
+
+    private static Ballots.Entry entry(String told) {
+        return new Ballots.Entry("end", told.charAt(2) - '0', told.charAt(3) == '-' ? null : octets(told.substring(3, 4)), false);
+    }
+
+    @Example
+    void inNoReachableStateAreTwoValuesWritten() {
+        int[] counts = walk(Fault.NONE);
+        System.out.println("states " + Arrays.toString(counts));
+        assertTrue(counts[0] > 10_000 && counts[1] > 1000, Arrays.toString(counts));
+    }
+
+    @Example
+    void eachPlantedFaultIsFoundByTheSameWalk() {
+        for (Fault fault : List.of(Fault.ANSWER_BEFORE_FORCE, Fault.SKIP_ASKING, Fault.ACCEPT_OLDER)) {
+            boolean found = false;
+            try {
+                System.out.println(fault + " " + Arrays.toString(walk(fault)));
+            } catch (AssertionError e) {
+                found = e.getMessage().startsWith("two values are written");
+            }
+            assertTrue(found, fault + " is not found");
+        }
+    }
+
+    // ---- drawn fleets of the whole thing
+
+    private static final class Fleet {
+        final SplittableRandom chance;
+        final int n;
+        final List<String> voters = new ArrayList<>();
+        final Decree[] nodes;
+        final byte[][] disk;
+        final Decree.Keep[] forcing;
+        final long[] forcedAt, began, leadsUntil, term;
+        final int[] side;
+        final List<Object[]> net = new ArrayList<>();
+        long now, terms;
+        double loss;
+        boolean may = true;
+
+        Fleet(long seed, int voting, int n) {
+            chance = new SplittableRandom(seed);
+            this.n = n;
+            nodes = new Decree[n];
+            disk = new byte[n][];
+            forcing = new Decree.Keep[n];
+            forcedAt = new long[n];
+            began = new long[n];
+            leadsUntil = new long[n];
+            term = new long[n];
+            side = new int[n];
+            for (int i = 0; i < voting; i++) {
+                voters.add("b" + i);
+            }
+            for (int i = 0; i < n; i++) {
+                begin(i);
+            }
+        }
+
+        Duration clock(int i) {
+            return Duration.ofMillis(now - began[i]);
+        }
+
+        void begin(int i) {
+            began[i] = now;
+            forcing[i] = null;
+            leadsUntil[i] = 0;
+            Leadership leadership = new Leadership() {
+                @Override public boolean leads(Duration at) {
+                    return now < leadsUntil[i];
+                }
+
+                @Override public long term() {
+                    return term[i];
+                }
+
+                @Override public Leader leader(Duration at) {
+                    return null;
+                }
+
+                @Override public List<String> voters() {
+                    return voters;
+                }
+            };
+            Seen seen = new Seen() {
+                @Override public Standing standing(Duration at) {
+                    return may ? Standing.MOST : Standing.FEW;
+                }
+
+                @Override public Duration since() {
+                    return Duration.ZERO;
+                }
+
+                @Override public View view() {
+                    return View.NONE;
+                }
+            };
+            nodes[i] = new Decree(clock(i), "b" + i, disk[i], leadership, seen, () -> others(i), chance.split(), line -> { });
+        }
+
+        List<String> others(int i) {
+            List<String> others = new ArrayList<>();
+            for (int k = 0; k < n; k++) {
+                if (k != i) {
+                    others.add("b" + k);
+                }
+            }
+            return others;
+        }
+
+        /** Under a term of its own; whoever led before may believe so for a while longer. */
+        void lead(int i, long ms) {
+            term[i] = ++terms;
+            leadsUntil[i] = now + ms;
+        }
+
+        void send(int from, List<Carry> all) {
+            for (Carry each : all) {
+                int to = Integer.parseInt(each.to().substring(1));
+                assertTrue(to != from && each.body().length <= Letters.MOST);
+                if (side[from] == side[to] && chance.nextDouble() >= loss) {
+                    for (int copies = chance.nextInt(10) == 0 ? 2 : 1; copies > 0; copies--) {
+                        net.add(new Object[] {now + 1 + (chance.nextInt(20) == 0 ? chance.nextInt(4000) : chance.nextInt(60)), from, to, each.body()});
+                    }
+                }
+            }
+        }
+
+        void step() {
+            now += 20;
+            List<Object[]> due = new ArrayList<>();
+            net.removeIf(each -> (long) each[0] <= now && due.add(each));
+            due.forEach(each -> send((int) each[2], nodes[(int) each[2]].came(clock((int) each[2]), "b" + each[1], (byte[]) each[3])));
+            for (int i = 0; i < n; i++) {
+                send(i, nodes[i].look(clock(i)));
+                if (forcing[i] != null && now >= forcedAt[i]) {
+                    disk[i] = forcing[i].octets();
+                    long version = forcing[i].version();
+                    forcing[i] = null;
+                    send(i, nodes[i].kept(clock(i), version));
+                }
+                Decree.Keep keep = forcing[i] == null ? nodes[i].keep() : null;
+                if (keep != null) {
+                    forcing[i] = keep;
+                    forcedAt[i] = now + chance.nextInt(200);
+                }
+            }
+        }
+
+        void run(long ms) {
+            for (long until = now + ms; now < until; ) {
+                step();
+            }
+        }
+    }
+
+    @Example
+    void underAnyTroubleOneValueAloneIsWrittenAndAllLearnIt() {
+        int begun = 0;
+        for (int seed = 0; seed < Integer.getInteger("merlinlever.seeds", 40); seed++) {
+            SplittableRandom chance = new SplittableRandom(seed);
+            int voting = chance.nextBoolean() ? 3 : 5;
+            Fleet fleet = new Fleet(seed, voting, voting + 1);
+            fleet.run(13_000);
+            Map<String, Set<String>> ever = new TreeMap<>();
+            long lostUntil = 0;
+            for (int step = 0; step < 2500; step++) {
+                int i = chance.nextInt(voting);
+                switch (chance.nextInt(120)) {
+                    case 0 -> fleet.lead(i, 200 + chance.nextInt(8000));
+                    case 1 -> fleet.begin(i);
+                    case 2 -> {
+                        // The disk too: of one voter at a time, until it has been told what it lost.
+                        if (fleet.now > lostUntil) {
+                            lostUntil = fleet.now + 30_000;
+                            fleet.disk[i] = null;
+                            fleet.begin(i);
+                        }
+                    }
+                    case 3 -> Arrays.setAll(fleet.side, k -> chance.nextInt(2));
+                    case 4, 5 -> Arrays.fill(fleet.side, 0);
+                    case 6 -> fleet.loss = chance.nextDouble() * 0.4;
+                    default -> fleet.nodes[i].propose(fleet.clock(i), "r" + chance.nextInt(3), octets("b" + i + "at" + fleet.now));
+                }
+                fleet.step();
+                check(fleet, ever, seed);
+            }
+            begun += ever.size();
+            fleet.loss = 0;
+            Arrays.fill(fleet.side, 0);
+            fleet.lead(0, 1_000_000);
+            fleet.run(15_000);
+            for (int r = 0; r < 3; r++) {
+                fleet.nodes[0].propose(fleet.clock(0), "r" + r, octets("last"));
+            }
+            fleet.run(8000);
+            check(fleet, ever, seed);
+            for (Decree node : fleet.nodes) {
+                for (int r = 0; r < 3; r++) {
+                    assertTrue(node.written("r" + r).isPresent(), "seed " + seed + ": not all know r" + r + " " + node.json());
+                }
+                assertTrue(node.json().contains("\"conflicts\":0"));
+            }
+        }
+        assertTrue(begun > 40, "registers written under trouble: " + begun);
+    }
+
+    private static void check(Fleet fleet, Map<String, Set<String>> ever, int seed) {
+        for (Decree node : fleet.nodes) {
+            for (int r = 0; r < 3; r++) {
+                String name = "r" + r;
+                node.written(name).ifPresent(value -> ever.computeIfAbsent(name, none -> new HashSet<>()).add(new String(value, StandardCharsets.US_ASCII)));
+            }
+        }
+        ever.forEach((name, values) -> assertEquals(1, values.size(), "seed " + seed + ", " + name + ": " + values));
+    }
+
+    @Example
+    void oneThatMayNotDecideOrDoesNotLeadWritesNothing() {
+        Fleet fleet = new Fleet(1, 3, 3);
+        fleet.run(13_000);
+        fleet.nodes[0].propose(fleet.clock(0), "end", octets("a"));
+        fleet.run(2000);
+        assertTrue(fleet.nodes[0].written("end").isEmpty(), "it does not lead");
+        fleet.lead(0, 100_000);
+        fleet.may = false;
+        fleet.nodes[0].propose(fleet.clock(0), "end", octets("a"));
+        fleet.run(2000);
+        assertTrue(fleet.nodes[0].written("end").isEmpty(), "it leads in few");
+        fleet.may = true;
+        fleet.nodes[0].propose(fleet.clock(0), "end", octets("a"));
+        fleet.step();
+        fleet.leadsUntil[0] = 0;
+        fleet.run(2000);
+        assertTrue(fleet.nodes[0].written("end").isEmpty(), "it was deposed after it began");
+        fleet.lead(1, 100_000);
+        fleet.nodes[1].propose(fleet.clock(1), "end", octets("b"));
+        fleet.run(3000);
+        for (Decree node : fleet.nodes) {
+            assertArrayEquals(octets("b"), node.written("end").orElseThrow());
+        }
+    }
+
+    @Example
+    void aVoterWithoutItsDiskDoesNotVoteBeforeItIsTold() {
+        Fleet fleet = new Fleet(2, 3, 3);
+        fleet.run(13_000);
+        fleet.lead(0, 1_000_000);
+        // Written by b0 and b1; b1's disk is lost, b0 is cut off: b1 and b2 must not write another.
+        fleet.side[2] = 1;
+        fleet.nodes[0].propose(fleet.clock(0), "end", octets("a"));
+        fleet.run(1000);
+        assertTrue(fleet.nodes[0].written("end").isPresent());
+        fleet.disk[1] = null;
+        fleet.begin(1);
+        Arrays.fill(fleet.side, 0);
+        fleet.side[0] = 1;
+        fleet.lead(2, 1_000_000);
+        fleet.nodes[2].propose(fleet.clock(2), "end", octets("c"));
+        fleet.run(30_000);
+        assertTrue(fleet.nodes[2].written("end").isEmpty() && fleet.nodes[1].json().contains("\"votes\":false"));
+        fleet.side[0] = 0;
+        fleet.run(5000);
+        assertArrayEquals(octets("a"), fleet.nodes[2].written("end").orElseThrow());
+        assertTrue(fleet.nodes[1].json().contains("\"votes\":true"));
+    }
+
+    @Property(tries = 5000, seed = "34")
+    void whatIsSpoiltIsNeitherReadFromTheDiskNorFromTheNetwork(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Ballots ballots = new Ballots();
+        for (int i = chance.nextInt(5); i >= 0; i--) {
+            ballots.accept(chance.nextInt(4), "r" + i, octets("v".repeat(chance.nextInt(20))));
+            if (chance.nextBoolean()) {
+                ballots.written("w" + i, octets("w"));
+            }
+        }
+        byte[] disk = ballots.octets();
+        assertArrayEquals(disk, Ballots.parsed(disk).octets());
+        byte[] spoilt = disk.clone();
+        spoilt[chance.nextInt(spoilt.length)] ^= (byte) (1 << chance.nextInt(8));
+        assertNull(Ballots.parsed(spoilt));
+        assertNull(Ballots.parsed(Arrays.copyOf(disk, chance.nextInt(disk.length))));
+        byte[] slip = new Slip(Slip.Kind.values()[chance.nextInt(9)], chance.nextInt(9), chance.nextLong(), "r1", List.copyOf(ballots.entries())).octets();
+        assertArrayEquals(slip, Slip.read(slip).octets());
+        assertNull(Slip.read(Arrays.copyOf(slip, chance.nextInt(slip.length))));
+        for (int k = chance.nextInt(4); k >= 0; k--) {
+            slip[chance.nextInt(slip.length)] = (byte) chance.nextInt(256);
+        }
+        Slip read = Slip.read(slip);
+        assertTrue(read == null || Arrays.equals(slip, read.octets()), "one way to write what was read");
+        new Fleet(3, 3, 3).nodes[0].came(Duration.ofSeconds(1), "b1", slip);
+    }
+
+    @Example
+    void registersAreBoundedAndNeverDropped() {
+        Ballots ballots = new Ballots();
+        for (int i = 0; i < Ballots.MOST; i++) {
+            assertTrue(ballots.accept(1, "r" + i, new byte[Ballots.MOST_VALUE]));
+        }
+        assertFalse(ballots.accept(1, "more", octets("x")));
+        assertTrue(ballots.written("r0", new byte[Ballots.MOST_VALUE]));
+        assertFalse(ballots.written("r0", octets("other")));
+        assertTrue(ballots.accept(9, "r0", octets("other")));
+        assertArrayEquals(new byte[Ballots.MOST_VALUE], ballots.get("r0").value(), "what is written stays, whatever is proposed");
+        assertEquals(Ballots.MOST, Ballots.parsed(ballots.octets()).entries().size());
+    }
+}
