--- a/src/main/java/merlinlever/trials/Rehearsed.java
+++ b/src/main/java/merlinlever/trials/Rehearsed.java
@@ -24,9 +24,9 @@
      *
      * @param at operations until it ended, both arms together
      * @param peeked where a fixed test at 0.05, looked at after each operation, first called a winner; 0: never
-     * @param toWorse operations that the second arm was given
+     * @param toSecond operations that the second arm was given until it ended
      */
-    public record Outcome(Verdict verdict, int at, int peeked, int toWorse) {
+    public record Outcome(Verdict verdict, int at, int peeked, int toSecond) {
     }
 
     private Rehearsed() {
@@ -53,7 +53,7 @@
         int peeked = 0;
         Verdict verdict = null;
         int at = 0;
-        int toWorse = 0;
+        int toSecond = 0;
         for (int n = 1; n <= drawn.most() && (verdict == null || peeked == 0); n++) {
             boolean heavy = drawn.heavy() > 0 && chance.nextDouble() < drawn.heavy();
             int arm = heavy ? heavyArm : chance.nextInt(2);
@@ -64,7 +64,7 @@
             raw[arm]++;
             rawSatisfied[arm] += good ? 1 : 0;
             if (verdict == null) {
-                toWorse += arm;
+                toSecond += arm;
                 // As Tally has it.
                 if (asked[arm][b] < Tally.FIRST + Tally.OVER_MEAN * (long) (arms[0].asked + arms[1].asked) / Split.BUCKETS) {
                     int before = satisfied[arm][b];
@@ -82,7 +82,7 @@
                 peeked = n;
             }
         }
-        return new Outcome(verdict == null ? new Verdict(Verdict.Kind.TIME, trial.safe(), "") : verdict, verdict == null ? drawn.most() : at, peeked, toWorse);
+        return new Outcome(verdict == null ? new Verdict(Verdict.Kind.TIME, trial.safe(), "") : verdict, verdict == null ? drawn.most() : at, peeked, toSecond);
     }
 
     private static double z(int[] asked, int[] satisfied) {
--- a/src/main/java/merlinlever/trials/Sequential.java
+++ b/src/main/java/merlinlever/trials/Sequential.java
@@ -20,6 +20,7 @@
     static final int LEAST_BUCKETS = 8;
     /** A difference under this is not what the bounds are made for. */
     private static final double FINEST = 0.005;
+    private static final double COARSER = 4;
 
     /** How much better the one arm is than the other, between these at all times. */
     public record Bounds(double low, double high) {
@@ -27,7 +28,7 @@
 
     private final Trial trial;
     private final double[] parts;
-    private final double nearness;
+    private final double[] nearness = new double[3];
     private final double level;
     private final double harm;
 
@@ -39,9 +40,11 @@
         for (int arm = 0; arm < arms; arm++) {
             parts[arm] = split.part(arm);
         }
-        // The mixture is tightest where twice the smallest difference is about to be seen.
-        double twice = 2 * Math.max(FINEST, trial.difference());
-        nearness = 1.5 / (twice * twice);
+        // Each mixture is tightest where a difference of its own size is about to be seen: twice the smallest one, and coarser ones.
+        for (int i = 0; i < nearness.length; i++) {
+            double size = 2 * Math.max(FINEST, trial.difference()) * Math.pow(COARSER, i);
+            nearness[i] = 1.5 / (size * size);
+        }
         level = trial.alpha() / (arms * (arms - 1));
         harm = 2 * trial.harm() / (2 * (arms - 1));
     }
@@ -164,10 +167,16 @@
         return new Lead(i.mean(ofValue) - k.mean(ofValue), variance, freedom, Math.min(i.asked, k.asked));
     }
 
-    /** Of the normal mixture at the information 1/variance; Student's distribution by D. Wallace's approximation (1959). */
+    /**
+     * Of the normal mixtures at the information 1/variance, the narrowest, each with its part of the chance; Student's distribution by
+     * D. Wallace's approximation (1959).
+     */
     private double radius(Lead lead, double chance) {
         double information = 1 / lead.variance();
-        double square = (1 + nearness / information) * (Math.log(1 + information / nearness) + 2 * Math.log(1 / chance));
-        return Math.sqrt(lead.variance() * lead.freedom() * (Math.exp(Math.min(50, square / lead.freedom())) - 1)) + Math.log(2 / chance) / 3 / lead.asked();
+        double least = Double.MAX_VALUE;
+        for (double near : nearness) {
+            least = Math.min(least, (1 + near / information) * (Math.log(1 + information / near) + 2 * Math.log(nearness.length / chance)));
+        }
+        return Math.sqrt(lead.variance() * lead.freedom() * (Math.exp(Math.min(50, least / lead.freedom())) - 1)) + Math.log(2 / chance) / 3 / lead.asked();
     }
 }
