--- a/src/main/java/merlinlever/faults/timeline/Plays.java
+++ b/src/main/java/merlinlever/faults/timeline/Plays.java
@@ -23,6 +23,10 @@
         ALL.put("budgets-leader-paused", BudgetPlays::paused);
         ALL.put("budgets-lost-promises", BudgetPlays::lostPromises);
         ALL.put("budgets-two-restart", BudgetPlays::restarted);
+        ALL.put("shared-missed", WordsPlays::missed);
+        ALL.put("shared-taken-back", WordsPlays::takenBack);
+        ALL.put("shared-claimed-twice", WordsPlays::clash);
+        ALL.put("shared-new-life", WordsPlays::overtaken);
     }
 
     private Plays() {
