--- a/src/main/java/merlinlever/faults/ServeFleet.java
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -42,8 +42,13 @@
      *
      * @param budget of the whole fleet's calls, or null where there are none
      * @param recovery whether the backends keep anything for their return; without it they start as they do on the platform
+     * @param together whether voters are named, so that they know who leads and who is there
      */
-    public record Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget) {
+    public record Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget, boolean together) {
+        public Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget) {
+            this(count, recovery, perSecond, window, budget, budget != null);
+        }
+
         public Stated(int count, boolean recovery, double perSecond, Duration window) {
             this(count, recovery, perSecond, window, null);
         }
@@ -163,7 +168,7 @@
         String recovery = !stated.recovery() ? "" : ",\"recovery\":{\"state\":\"" + state(i) + "\",\"listen\":\"" + AgentFleet.text(real)
                 + "\",\"advertise\":\"" + AgentFleet.text(hub.front(i)) + "\",\"seeds\":[" + String.join(",", seeds)
                 + "],\"secret-file\":\"" + secret + "\",\"mark-ms\":200,\"patience-ms\":1500,\"spread-ms\":200"
-                + (stated.budget() == null ? "" : ",\"voters\":[" + voters() + "]") + "}";
+                + (!stated.together() ? "" : ",\"voters\":[" + voters() + "]") + "}";
         // Nobody reads the directory's reports here.
         return "{\"name\":\"" + name(i) + "\",\"listen\":\"" + AgentFleet.text(listen) + "\",\"agent\":\"" + AgentFleet.text(farms.get(i).address())
                 + "\",\"lookup\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed) + "\",\"stop_ms\":3000,\"manage\":\""
--- /dev/null
+++ b/src/main/java/merlinlever/faults/ViewFaults.java
@@ -0,0 +1,256 @@
+package merlinlever.faults;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import merlinlever.faults.audit.OneView;
+import merlinlever.faults.link.Links;
+import merlinlever.faults.timeline.Event;
+import merlinlever.faults.timeline.Logs;
+import merlinlever.faults.timeline.Writer;
+
+/**
+ * Faults among real backends that know who is there: what each tells of its standing and its view is asked for all the
+ * while, and after each fault all have to be whole again, under one view. What fails is drawn as a timeline.
+ */
+public final class ViewFaults {
+
+    /** What happens. */
+    public enum Kind {
+        /** The smaller part is cut off from the larger, and healed. */
+        PARTED,
+        /** One is cut off from all others, and healed. */
+        ONE_CUT_OFF,
+        /** What one says does not reach one other. */
+        ONE_WAY,
+        /** One stands still past every lease and goes on. */
+        PAUSE,
+        /** One is killed and begins again. */
+        KILL,
+        /** One stands still half of the time. */
+        FLAP,
+        /** Every link is slow. */
+        SLOW;
+
+        public String word() {
+            return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /**
+     * How it ended.
+     *
+     * @param views seen anew from the fault until all was well again
+     * @param parted until each side knew its standing, or null where that is not asked for
+     * @param healed until all were whole under one view
+     */
+    public record Outcome(Kind kind, long seed, int views, Duration parted, Duration healed, List<String> breaches, String timeline) {
+        public String told() {
+            return kind.word() + ", seed " + seed + ": " + (breaches.isEmpty() ? "passed" : "FAILED") + ", " + views + " views"
+                    + (parted == null ? "" : ", known after " + parted.toMillis() + " ms") + (healed == null ? "" : ", healed after " + healed.toMillis() + " ms")
+                    + (breaches.isEmpty() ? "" : "\n  breach: " + String.join("\n  breach: ", breaches) + "\n" + timeline);
+        }
+    }
+
+    private static final Duration LOOK = Duration.ofMillis(50);
+
+    private final ServeFleet fleet;
+    private final Duration patience;
+    private OneView audit = new OneView();
+    private Logs logs;
+
+    public ViewFaults(ServeFleet fleet, Duration patience) {
+        this.fleet = fleet;
+        this.patience = patience;
+        logs = logs();
+    }
+
+    private Logs logs() {
+        return new Logs(Instant.now(), fleet.all().stream().map(fleet::name).toList());
+    }
+
+    /** Starts all; returns when they are whole under one view. */
+    public void begin() throws IOException, InterruptedException {
+        for (int i : fleet.all()) {
+            start(i);
+        }
+        if (until(this::allWhole) == null) {
+            throw new IOException("not whole within " + patience.toMillis() + " ms: " + audit.last().values() + "\n" + drawn("The start"));
+        }
+    }
+
+    private void start(int i) throws IOException, InterruptedException {
+        logs.note(Instant.now(), fleet.name(i), Event.STARTED);
+        fleet.start(i);
+    }
+
+    private String drawn(String title) throws IOException {
+        Map<String, Path> files = new LinkedHashMap<>();
+        fleet.all().forEach(i -> files.put(fleet.name(i), fleet.processes().log(fleet.name(i))));
+        return Writer.draw(logs.timeline(title, files, "recovery: "));
+    }
+
+    /** Asks all that run, and notes what changed. */
+    private Map<Integer, OneView.Told> look() {
+        Map<Integer, OneView.Told> now = new TreeMap<>();
+        for (int i : fleet.all()) {
+            JsonNode told = fleet.runs(i) ? fleet.told(i) : null;
+            JsonNode view = told == null ? null : told.path("recovery").path("view");
+            if (view == null || view.isMissingNode()) {
+                continue;
+            }
+            SortedSet<String> members = new TreeSet<>();
+            view.path("members").forEach(member -> members.add(member.asText()));
+            OneView.Told its = new OneView.Told(fleet.name(i), fleet.processes().starts(fleet.name(i)), view.path("standing").asText(),
+                    view.path("number").asLong(), view.path("digest").asText(), members);
+            OneView.Told before = audit.last().get(its.by());
+            if (before == null || !before.standing().equals(its.standing()) || before.number() != its.number()) {
+                logs.note(Instant.now(), its.by(), "* " + its.standing() + ", view " + (its.number() >> 20) + "." + (its.number() & 0xfffff) + ": "
+                        + String.join(" ", members));
+            }
+            audit.told(its);
+            now.put(i, its);
+        }
+        return now;
+    }
+
+    /** Looks until it is so; null where that took too long. */
+    private Duration until(Predicate<Map<Integer, OneView.Told>> so) throws InterruptedException {
+        long began = System.nanoTime();
+        while (System.nanoTime() - began < patience.toNanos()) {
+            if (so.test(look())) {
+                return Duration.ofNanos(System.nanoTime() - began);
+            }
+            Thread.sleep(LOOK.toMillis());
+        }
+        return null;
+    }
+
+    private void watch(long ms) throws InterruptedException {
+        for (long until = System.nanoTime() + ms * 1_000_000; System.nanoTime() < until; Thread.sleep(LOOK.toMillis())) {
+            look();
+        }
+    }
+
+    private boolean allWhole(Map<Integer, OneView.Told> told) {
+        SortedSet<String> all = new TreeSet<>(fleet.all().stream().map(fleet::name).toList());
+        return told.size() == fleet.count() && told.values().stream().allMatch(each -> each.standing().equals("whole") && each.members().equals(all))
+                && told.values().stream().map(OneView.Told::number).distinct().count() == 1;
+    }
+
+    private static boolean stand(Map<Integer, OneView.Told> told, Set<Integer> who, List<String> standings) {
+        return who.stream().allMatch(i -> told.containsKey(i) && standings.contains(told.get(i).standing()));
+    }
+
+    public Outcome play(Kind kind, long seed) throws IOException, InterruptedException {
+        SplittableRandom chance = new SplittableRandom(seed);
+        audit = new OneView();
+        logs = logs();
+        look();
+        int before = audit.views();
+        List<String> breaches = new ArrayList<>();
+        List<Integer> drawn = new ArrayList<>(fleet.all());
+        for (int i = drawn.size() - 1; i > 0; i--) {
+            java.util.Collections.swap(drawn, i, chance.nextInt(i + 1));
+        }
+        int one = drawn.get(0);
+        int few = kind == Kind.PARTED ? (fleet.count() - 1) / 2 : 1;
+        Set<Integer> less = new TreeSet<>(drawn.subList(0, few));
+        Set<Integer> most = new TreeSet<>(drawn.subList(few, drawn.size()));
+        Duration known = null;
+        boolean parts = kind == Kind.PARTED || kind == Kind.ONE_CUT_OFF;
+        switch (kind) {
+            case PARTED, ONE_CUT_OFF -> {
+                all("parted: " + names(less) + " | " + names(most));
+                fleet.on(links -> links.partition(List.of(less, most)));
+                known = until(told -> stand(told, most, List.of("most")) && stand(told, less, List.of("few", "alone")));
+            }
+            case ONE_WAY -> {
+                int other = drawn.get(1);
+                all("nothing from " + fleet.name(one) + " reaches " + fleet.name(other));
+                fleet.on(links -> links.set(one, other, Links.Fault.CUT));
+                watch(4000);
+                within(breaches, List.of("few", "alone"));
+            }
+            case PAUSE -> {
+                pause(one);
+                watch(4000 + chance.nextInt(1000));
+                resume(one);
+            }
+            case KILL -> {
+                logs.note(Instant.now(), fleet.name(one), Event.KILLED);
+                fleet.powerOff(one);
+                known = until(told -> stand(told, most, List.of("most")));
+                start(one);
+            }
+            case FLAP -> {
+                for (int i = 0; i < 4; i++) {
+                    pause(one);
+                    watch(500);
+                    resume(one);
+                    watch(500);
+                }
+            }
+            default -> {
+                all("every link takes 150 to 250 ms");
+                fleet.on(links -> fleet.all().forEach(i -> fleet.all().stream().filter(k -> k != i).forEach(k -> links.set(i, k,
+                        Links.Fault.delayed(Duration.ofMillis(150), Duration.ofMillis(100))))));
+                watch(4000);
+                within(breaches, List.of("few", "alone"));
+            }
+        }
+        if ((parts || kind == Kind.KILL) && known == null) {
+            breaches.add("after " + patience.toMillis() + " ms not known on both sides: " + standings());
+        }
+        all("all links are well");
+        fleet.on(Links::heal);
+        Duration healed = until(this::allWhole);
+        if (healed == null) {
+            breaches.add("after " + patience.toMillis() + " ms not whole under one view: " + standings());
+        }
+        breaches.addAll(audit.breaches());
+        String title = kind.word() + ", seed " + seed + "\n" + String.join("\n", breaches);
+        return new Outcome(kind, seed, audit.views() - before, known, healed, breaches, drawn(title));
+    }
+
+    /** Nobody may have come to these. */
+    private void within(List<String> breaches, List<String> standings) {
+        audit.last().values().stream().filter(told -> standings.contains(told.standing())).forEach(told -> breaches.add(told.by() + " is " + told.standing()));
+    }
+
+    private String standings() {
+        List<String> all = new ArrayList<>();
+        audit.last().values().forEach(told -> all.add(told.by() + " " + told.standing() + ", view " + told.number()));
+        return String.join("; ", all);
+    }
+
+    private void all(String what) {
+        logs.note(Instant.now(), "", what);
+    }
+
+    private String names(Set<Integer> who) {
+        return String.join(" ", who.stream().map(fleet::name).toList());
+    }
+
+    private void pause(int i) throws IOException, InterruptedException {
+        logs.note(Instant.now(), fleet.name(i), Event.PAUSED);
+        fleet.processes().pause(fleet.name(i));
+    }
+
+    private void resume(int i) throws IOException, InterruptedException {
+        logs.note(Instant.now(), fleet.name(i), Event.RESUMED);
+        fleet.processes().resume(fleet.name(i));
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/faults/audit/OneView.java
@@ -0,0 +1,52 @@
+package merlinlever.faults.audit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeMap;
+
+/**
+ * What backends tell of their views, held against the rules: one number is one membership, whoever tells it, and in one life
+ * of a process its number goes forward alone. Views that were seen at the most: {@link #MOST}.
+ */
+public final class OneView {
+
+    /** What one of them told. */
+    public record Told(String by, int life, String standing, long number, String digest, SortedSet<String> members) {
+    }
+
+    static final int MOST = 10_000;
+
+    private final Map<Long, Told> views = new TreeMap<>();
+    private final Map<String, Told> last = new TreeMap<>();
+    private final List<String> breaches = new ArrayList<>();
+
+    public void told(Told now) {
+        Told before = last.put(now.by(), now);
+        if (before != null && before.life() == now.life() && now.number() < before.number()) {
+            breaches.add(now.by() + " went back from view " + before.number() + " to " + now.number());
+        }
+        if (now.number() == 0 || views.size() >= MOST) {
+            return;
+        }
+        Told other = views.putIfAbsent(now.number(), now);
+        if (other != null && (!other.members().equals(now.members()) || !other.digest().equals(now.digest()))) {
+            breaches.add("view " + now.number() + " is " + other.members() + " at " + other.by() + " and " + now.members() + " at " + now.by());
+        }
+    }
+
+    public List<String> breaches() {
+        return List.copyOf(breaches);
+    }
+
+    /** How many views were seen. */
+    public int views() {
+        return views.size();
+    }
+
+    /** What each told last. */
+    public Map<String, Told> last() {
+        return new TreeMap<>(last);
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/faults/ViewFaultsTest.java
@@ -0,0 +1,76 @@
+package merlinlever.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import merlinlever.faults.audit.OneView;
+import net.jqwik.api.Example;
+
+/** Fleets of five real backends under faults between them, 10 seeds: who is there is one thing for all of them, always. */
+class ViewFaultsTest {
+
+    private static final int SEEDS = Integer.getInteger("merlinlever.seeds", 10);
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    private static List<String> some(int part, int parts) throws Exception {
+        Path root = Files.createTempDirectory("merlinlever-view");
+        List<String> failed = new ArrayList<>();
+        try (ServeFleet fleet = new ServeFleet(root, new ServeFleet.Stated(5, true, 1, Duration.ofSeconds(4), null, true), AgentFleet.sameJava(), 0x2800L + part)) {
+            ViewFaults faults = new ViewFaults(fleet, PATIENCE);
+            faults.begin();
+            ViewFaults.Kind[] kinds = ViewFaults.Kind.values();
+            for (int seed = part; seed < SEEDS; seed += parts) {
+                ViewFaults.Outcome outcome = faults.play(kinds[seed % kinds.length], seed);
+                System.out.println(outcome.told().lines().findFirst().orElseThrow());
+                if (!outcome.breaches().isEmpty()) {
+                    failed.add(outcome.told());
+                }
+            }
+        } finally {
+            TestFolders.remove(root);
+        }
+        return failed;
+    }
+
+    @Example
+    void underFaultsOneNumberIsOneMembershipAndAllAreWholeAfterThem() throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(2);
+        try {
+            List<Future<List<String>>> all = new ArrayList<>();
+            for (int part = 0; part < 2; part++) {
+                int its = part;
+                Callable<List<String>> some = () -> some(its, 2);
+                all.add(threads.submit(some));
+            }
+            List<String> failed = new ArrayList<>();
+            for (Future<List<String>> each : all) {
+                failed.addAll(each.get());
+            }
+            assertTrue(failed.isEmpty(), String.join("\n", failed));
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    @Example
+    void theAuditNamesEachBreach() {
+        OneView audit = new OneView();
+        audit.told(new OneView.Told("b-0", 1, "whole", 5, "d", new TreeSet<>(List.of("b-0", "b-1"))));
+        audit.told(new OneView.Told("b-1", 1, "whole", 5, "d", new TreeSet<>(List.of("b-0", "b-1"))));
+        audit.told(new OneView.Told("b-0", 2, "returning", 0, "-", new TreeSet<>()));
+        assertEquals(List.of(), audit.breaches());
+        audit.told(new OneView.Told("b-1", 1, "most", 4, "e", new TreeSet<>(List.of("b-1"))));
+        audit.told(new OneView.Told("b-0", 2, "most", 5, "f", new TreeSet<>(List.of("b-0"))));
+        assertEquals(List.of("b-1 went back from view 5 to 4", "view 5 is [b-0, b-1] at b-0 and [b-0] at b-0"), audit.breaches());
+    }
+}
