--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -8,13 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import merlinlever.Control;
 import merlinlever.core.Backend;
 import merlinlever.core.Stated;
 import merlinlever.durable.Folders;
 import merlinlever.log.Log;
 import merlinlever.members.Link;
 import merlinlever.net.Loop;
+import merlinlever.policy.Control;
 import merlinlever.recovery.Return;
 import merlinlever.recovery.net.Rejoin;
 
