--- /dev/null
+++ b/src/main/java/merlinlever/faults/RoutesModel.java
@@ -0,0 +1,416 @@
+package merlinlever.faults;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import merlinlever.Ending;
+import merlinlever.faults.audit.Exports;
+import merlinlever.routes.Damping;
+import merlinlever.routes.Exits;
+import merlinlever.routes.Fellows;
+import merlinlever.routes.Own;
+import merlinlever.routes.Relation;
+import merlinlever.routes.Restrictions;
+import merlinlever.routes.Route;
+import merlinlever.routes.Routes;
+import merlinlever.routes.Rules;
+import merlinlever.routes.Table;
+import merlinlever.shared.Snapshot;
+import merlinlever.view.Seen;
+import merlinlever.view.Standing;
+import merlinlever.view.View;
+
+/**
+ * Sites with several backends each that publish routes to each other and send calls along them, on a network and clocks of the
+ * model's own: words late, lost, doubled and out of order, backends and sites cut off, killed and back, records services lost.
+ * All from a seed; an auditor sees what passes between sites.
+ */
+public final class RoutesModel {
+
+    private static final double DRIFT = 0.01;
+    private static final Exits.Tariff[] TARIFFS = {new Exits.Tariff("reads", Exits.Kind.RETRIABLE, true),
+            new Exits.Tariff("orders", Exits.Kind.FINGERPRINTED, true)};
+    private static final int STEP = 20;
+
+    private record Event(long at, long order, Runnable what) {
+    }
+
+    /** One site: its service, and what it publishes. */
+    public final class Site {
+        final int index;
+        final String name;
+        public final List<Node> nodes = new ArrayList<>();
+        /** Of its own routes; null for none. */
+        Restrictions restrictions;
+        public boolean serviceUp = true;
+        /** It passes on all that it has, whatever it may. */
+        public boolean leaks;
+        final Map<String, Table> published = new TreeMap<>();
+        long incarnation = 1, sequence;
+        public int calls = 200;
+        public long served, brokenOff;
+
+        Site(int index, String name) {
+            this.index = index;
+            this.name = name;
+        }
+
+        /** From now on its own routes are restricted so; null withdraws them. */
+        public void restrict(Restrictions now_) {
+            restrictions = now_;
+            audit.said(now, name, now_);
+        }
+
+        /** It lost what it knew of its versions, and comes with an older one. */
+        public void forgetVersions() {
+            sequence = 0;
+            published.clear();
+        }
+
+        private String place() {
+            return "10.0.0." + (index + 1) + ":1";
+        }
+
+        /** What it publishes to another: asked of its first backend. */
+        private Table publish(Node first, String to) {
+            List<Route> own = new ArrayList<>();
+            for (Exits.Tariff each : TARIFFS) {
+                if (restrictions != null) {
+                    own.add(new Route(each.name(), "records", place(), calls, 1, false, List.of(name), null, restrictions));
+                }
+            }
+            List<Route> all = leaks ? new ArrayList<>(own) : first.routes.export(first.clock(), to, own, place(), calls, 1);
+            if (leaks) {
+                for (String from : first.routes.sites()) {
+                    Table its = first.routes.latest(from);
+                    if (its != null) {
+                        its.routes().values().stream().filter(each -> each.path().size() < 4 && !each.path().contains(name)).forEach(each -> {
+                            List<String> path = new ArrayList<>(List.of(name));
+                            path.addAll(each.path());
+                            all.add(new Route(each.tariff(), each.group(), place(), each.calls(), 0, false, path, each.downFrom(), each.restrictions()));
+                        });
+                    }
+                }
+            }
+            Relation relation = relations.get(to + " " + name);
+            Table before = published.get(to);
+            Table next = Table.of(name, incarnation, sequence + 1, relation, lease, all);
+            if (before == null || !before.routes().equals(next.routes()) || before.incarnation() != incarnation) {
+                sequence++;
+                published.put(to, next);
+            }
+            return published.get(to);
+        }
+    }
+
+    /** One backend. */
+    public final class Node implements Seen {
+        final Site site;
+        final int index;
+        final double rate;
+        final long offset;
+        public boolean up = true;
+        public int side;
+        Routes routes;
+        Fellows fellows;
+        Exits exits;
+        Own own;
+        final Map<String, long[]> asked = new TreeMap<>();
+        final Map<String, List<Snapshot>> words = new TreeMap<>();
+        public final List<String> told = new ArrayList<>();
+
+        Node(Site site, int index) {
+            this.site = site;
+            this.index = index;
+            rate = 1 + (chance.nextDouble() - 0.5) * DRIFT;
+            offset = chance.nextInt(100_000);
+        }
+
+        Duration clock() {
+            return Duration.ofNanos((long) ((now + offset) * rate * 1e6));
+        }
+
+        /** It begins anew and knows nothing. */
+        public void begin() {
+            List<Routes.Stated> stated = new ArrayList<>();
+            sites.forEach(each -> Optional.ofNullable(relations.get(site.name + " " + each.name)).ifPresent(its -> stated.add(new Routes.Stated(each.name, its))));
+            routes = new Routes(new Rules(site.name), stated, DRIFT, Damping.Figures.PUBLISHED, this, line -> {
+                if (told.size() < 200) {
+                    told.add(now + " " + line);
+                }
+            });
+            fellows = new Fellows(routes, chance.nextLong(1L << 40), chance.split());
+            exits = new Exits(routes, site.nodes.size() == 0 ? 1 : perSite);
+            own = new Own(Own.Stated.USUAL);
+            words.clear();
+            asked.clear();
+            up = true;
+        }
+
+        private boolean hears(Node other) {
+            return up && other.up && side == other.side;
+        }
+
+        @Override public Standing standing(Duration at) {
+            long heard = site.nodes.stream().filter(this::hears).count();
+            return heard == perSite ? Standing.WHOLE : 2 * heard > perSite ? Standing.MOST : heard > 1 ? Standing.FEW : Standing.ALONE;
+        }
+
+        @Override public Duration since() {
+            return Duration.ZERO;
+        }
+
+        @Override public View view() {
+            return View.NONE;
+        }
+
+        private void look() {
+            routes.settle(clock());
+            for (Fellows.Say each : fellows.look(clock(), others())) {
+                say(each);
+            }
+            if (index < 2) {
+                for (String partner : routes.sites()) {
+                    long[] last = asked.computeIfAbsent(partner, p -> new long[] {0, -1_000_000, 0});
+                    if (now - last[1] >= lease.toMillis() / 5) {
+                        last[0]++;
+                        last[1] = now;
+                        last[2] = clock().toNanos();
+                        ask(partner, last[0], clock());
+                    }
+                }
+            }
+            if (chance.nextInt(10) == 0) {
+                Node other = site.nodes.get(chance.nextInt(perSite));
+                words.values().forEach(all -> all.forEach(word -> toFellow(this, other, () -> other.came(word))));
+            }
+        }
+
+        private List<String> others() {
+            return site.nodes.stream().filter(each -> each != this).map(each -> "" + each.index).toList();
+        }
+
+        private void say(Fellows.Say each) {
+            Node to = site.nodes.get(Integer.parseInt(each.to()));
+            toFellow(this, to, () -> to.fellows.said(to.clock(), "" + index, each.number(), each.what()).forEach(to::say));
+        }
+
+        private void ask(String partner, long number, Duration from) {
+            Site there = site(partner);
+            Node first = there.nodes.get(0);
+            toSite(this, there, () -> {
+                if (first.up) {
+                    Table table = there.publish(first, site.name);
+                    audit.table(now, partner, site.name, table);
+                    toSite(first, site, () -> {
+                        long[] last = asked.get(partner);
+                        if (up && last != null && last[0] == number && last[2] == from.toNanos()) {
+                            read(table, from);
+                        }
+                    });
+                }
+            });
+        }
+
+        private void read(Table table, Duration from) {
+            if (routes.offer(clock(), table)) {
+                words.put(table.site(), Fellows.words(table));
+            }
+            Routes.Holds holds = routes.holds(clock(), table.site());
+            if (holds != null && table.equals(routes.latest(table.site()))) {
+                routes.stoodBy(clock(), table.site(), table.incarnation(), table.sequence(), holds.digest(), from, table.lease());
+            }
+        }
+
+        private void came(Snapshot word) {
+            if (fellows.came(clock(), word)) {
+                words.put(word.owner(), Fellows.words(routes.latest(word.owner())));
+            }
+        }
+
+        // ---- calls
+
+        /** An operation whose run needs a call. */
+        public void operation() {
+            Exits.Tariff tariff = TARIFFS[chance.nextInt(2)];
+            long id = ++operations;
+            audit.begun(id, now + 4000);
+            attempt(id, tariff, "k" + chance.nextInt(500), new HashSet<>(), false, 0);
+        }
+
+        private void attempt(long id, Exits.Tariff tariff, String key, Set<String> tried, boolean missing, int times) {
+            boolean effect = tariff.kind() != Exits.Kind.RETRIABLE;
+            if (own.state() == Own.State.GOOD || own.tries(clock()) || without) {
+                long began = now;
+                boolean lostThen = !site.serviceUp;
+                later(lostThen ? 1 : 5 + chance.nextInt(20), () -> {
+                    Ending how = lostThen ? Ending.UNREACHABLE : site.serviceUp ? Ending.OK : Ending.CUT_OFF;
+                    if (how == Ending.OK && effect || how == Ending.CUT_OFF && effect && chance.nextBoolean()) {
+                        audit.effect(now, id, site.name);
+                    }
+                    own.ended(clock(), how, Duration.ofMillis(now - began));
+                    ended(id, tariff, key, tried, missing, times, how);
+                });
+                return;
+            }
+            Optional<Exits.Way> way = exits.way(clock(), new Exits.Call(tariff, "records", key, tried, missing), own.state(), false);
+            if (way.isEmpty()) {
+                ended(id, tariff, key, tried, missing, 9, Ending.UNREACHABLE);
+                return;
+            }
+            String route = way.get().route();
+            List<String> path = List.of(route.substring(route.lastIndexOf('/') + 1).split(">"));
+            tried.add(way.get().place());
+            Site first = site(path.get(0)), last = site(path.get(path.size() - 1));
+            boolean[] over = new boolean[1];
+            later(600, () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    ended(id, tariff, key, tried, missing, times, Ending.CUT_OFF);
+                }
+            });
+            boolean[] came = new boolean[1];
+            audit.call(now, site.name, path, effect);
+            toSite(this, first, () -> {
+                // A connection carries a call once.
+                if (came[0]) {
+                    return;
+                }
+                came[0] = true;
+                boolean ran = last.serviceUp;
+                if (ran && effect) {
+                    audit.effect(now, id, last.name);
+                }
+                toSite(first.nodes.get(0), site, () -> {
+                    if (!over[0]) {
+                        over[0] = true;
+                        ended(id, tariff, key, tried, missing, times, ran ? Ending.OK : Ending.TURNED_AWAY);
+                    }
+                });
+            });
+        }
+
+        private void ended(long id, Exits.Tariff tariff, String key, Set<String> tried, boolean missing, int times, Ending how) {
+            boolean again = how != Ending.OK && times < 3 && (how.provesUnrun() || tariff.kind() == Exits.Kind.RETRIABLE || secondWay);
+            if (again) {
+                attempt(id, tariff, key, tried, missing || !how.provesUnrun(), times + 1);
+                return;
+            }
+            audit.ended(now, id);
+            site.served += how == Ending.OK ? 1 : 0;
+            site.brokenOff += how == Ending.OK ? 0 : 1;
+        }
+    }
+
+    final SplittableRandom chance;
+    final Duration lease;
+    final int perSite;
+    public final List<Site> sites = new ArrayList<>();
+    private final Map<String, Relation> relations = new TreeMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    public final Exports audit;
+    public long now;
+    private long order, operations;
+    public double loss;
+    /** Pairs of sites that do not hear each other; and calls stay home. */
+    public final Set<String> cut = new HashSet<>();
+    public boolean without;
+    /** The module asks again whatever happened; only the exits hold a second way back. */
+    public boolean secondWay;
+
+    /** @param relations of pairs "a b": what b is to a; the other way round follows */
+    public RoutesModel(long seed, int perSite, Duration lease, List<String> names, Map<String, Relation> relations) {
+        chance = new SplittableRandom(seed);
+        this.lease = lease;
+        this.perSite = perSite;
+        relations.forEach((pair, its) -> {
+            this.relations.put(pair, its);
+            this.relations.put(pair.substring(pair.indexOf(' ') + 1) + " " + pair.substring(0, pair.indexOf(' ')), its.seenFromThere());
+        });
+        audit = new Exports((one, other) -> this.relations.get(one + " " + other), lease.toMillis());
+        names.forEach(name -> sites.add(new Site(sites.size(), name)));
+        for (Site each : sites) {
+            for (int i = 0; i < perSite; i++) {
+                each.nodes.add(new Node(each, i));
+            }
+            each.restrict(Restrictions.NONE);
+        }
+        sites.forEach(each -> each.nodes.forEach(Node::begin));
+    }
+
+    public Site site(String name) {
+        return sites.stream().filter(each -> each.name.equals(name)).findFirst().orElseThrow();
+    }
+
+    public void later(long ms, Runnable what) {
+        events.add(new Event(now + ms, order++, what));
+    }
+
+    private void carry(Runnable what) {
+        if (chance.nextDouble() >= loss) {
+            int copies = chance.nextInt(20) == 0 ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                later(1 + (chance.nextInt(50) == 0 ? chance.nextInt(4000) : chance.nextInt(30)), what);
+            }
+        }
+    }
+
+    private void toFellow(Node from, Node to, Runnable what) {
+        if (from != to && from.hears(to)) {
+            carry(() -> {
+                if (to.up) {
+                    what.run();
+                }
+            });
+        }
+    }
+
+    private void toSite(Node from, Site to, Runnable what) {
+        if (from.up && !cut.contains(from.site.name + " " + to.name) && !cut.contains(from.site.name + from.side + " " + to.name)) {
+            carry(what);
+        }
+    }
+
+    public void cut(String one, String other) {
+        cut.add(one + " " + other);
+        cut.add(other + " " + one);
+    }
+
+    /** @param perStep operations that begin in each step of 20 ms, at drawn backends */
+    public void run(long ms, int perStep) {
+        long until = now + ms;
+        while (now < until) {
+            long next = now + STEP;
+            while (!events.isEmpty() && events.peek().at <= next) {
+                Event event = events.poll();
+                now = Math.max(now, event.at);
+                event.what.run();
+            }
+            now = next;
+            sites.forEach(site -> site.nodes.stream().filter(node -> node.up).forEach(Node::look));
+            for (int i = 0; i < perStep; i++) {
+                Node node = sites.get(chance.nextInt(sites.size())).nodes.get(chance.nextInt(perSite));
+                if (node.up) {
+                    node.operation();
+                }
+            }
+        }
+    }
+
+    /** Whether a backend has a way for reads. */
+    public boolean hasWay(Node node) {
+        return !node.routes.ways(node.clock(), "reads/records").isEmpty();
+    }
+
+    /** What a backend would decide with, as text. */
+    public String merged(Node node) {
+        return node.routes.merged();
+    }
+}
--- /dev/null
+++ b/src/main/java/merlinlever/routes/Fellows.java
@@ -0,0 +1,95 @@
+package merlinlever.routes;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import merlinlever.shared.Snapshot;
+
+/**
+ * What the backends of one site tell each other of partners: the tables as shared words, which may come late, and how long they
+ * hold as answers, which count from the question. So of one lease nobody has more than who heard the partner itself.
+ *
+ * <p>Words: {@code K/site} asks what is held, {@code L/site/incarnation/sequence/digest/left} says it.
+ */
+public final class Fellows {
+
+    /** Something to be said to another. */
+    public record Say(String to, long number, String what) {
+    }
+
+    private record Asked(long number, Duration at) {
+    }
+
+    private static final Duration SHORTEST = Duration.ofMillis(100);
+
+    private final Routes routes;
+    private final SplittableRandom chance;
+    private final Parts parts = new Parts();
+    private final Map<String, Asked> asked = new TreeMap<>();
+    private long number;
+
+    /** @param first number of its questions, which no other life of this backend comes near */
+    public Fellows(Routes routes, long first, SplittableRandom chance) {
+        this.routes = routes;
+        this.chance = chance;
+        number = first;
+    }
+
+    /** What is to be passed on of a table that was read here. */
+    public static List<Snapshot> words(Table table) {
+        return Parts.cut(table);
+    }
+
+    /** A shared word came; true where it completed a table that is newer. */
+    public boolean came(Duration now, Snapshot word) {
+        Table table = parts.came(word);
+        return table != null && routes.offer(now, table);
+    }
+
+    /** Whether the word is part of a table. */
+    public static boolean isPart(Snapshot word) {
+        return word.topic().startsWith("routes.");
+    }
+
+    /** What is to be asked now: of each partner whose lease is a quarter over, another one each eighth of it. */
+    public List<Say> look(Duration now, List<String> others) {
+        List<Say> all = new ArrayList<>();
+        for (String site : routes.sites()) {
+            Routes.Holds holds = routes.holds(now, site);
+            Duration lease = holds == null ? Table.SHORTEST.multipliedBy(4) : routes.latest(site).lease();
+            Duration pause = lease.dividedBy(8).compareTo(SHORTEST) < 0 ? SHORTEST : lease.dividedBy(8);
+            Asked last = asked.get(site);
+            if (!others.isEmpty() && (holds == null || holds.left().compareTo(lease.multipliedBy(3).dividedBy(4)) < 0)
+                    && (last == null || now.minus(last.at()).compareTo(pause) >= 0)) {
+                asked.put(site, new Asked(++number, now));
+                all.add(new Say(others.get(chance.nextInt(others.size())), number, "K/" + site));
+            }
+        }
+        return all;
+    }
+
+    /** Another said that; returns what is said to it. */
+    public List<Say> said(Duration now, String name, long itsNumber, String what) {
+        String[] part = what.split("/", -1);
+        if (part[0].equals("K") && part.length == 2) {
+            Routes.Holds holds = routes.holds(now, part[1]);
+            return holds == null || holds.left().isZero() ? List.of() : List.of(new Say(name, itsNumber, "L/" + part[1] + "/" + holds.incarnation() + "/"
+                    + holds.sequence() + "/" + holds.digest() + "/" + holds.left().toMillis()));
+        }
+        Asked last = part.length == 6 ? asked.get(part[1]) : null;
+        if (part[0].equals("L") && last != null && last.number() == itsNumber) {
+            try {
+                long left = Long.parseLong(part[5]);
+                if (left >= 0 && left <= Table.LONGEST.toMillis()) {
+                    routes.stoodBy(now, part[1], Long.parseLong(part[2]), Long.parseLong(part[3]), part[4], last.at(), Duration.ofMillis(left));
+                }
+            } catch (NumberFormatException e) {
+                return List.of();
+            }
+        }
+        return List.of();
+    }
+}
--- a/src/main/java/merlinlever/routes/Partner.java
+++ b/src/main/java/merlinlever/routes/Partner.java
@@ -38,6 +38,7 @@
         if (latest != null && !table.after(latest)) {
             return again(table, itsDigest, told);
         }
+        expire(now);
         boolean holds = now.compareTo(until) < 0;
         before = holds ? used : null;
         beforeUntil = holds ? until : Duration.ZERO;
@@ -47,11 +48,21 @@
         // Where it said less before, that lease ends as the new one would.
         Duration longest = now.plus(table.lease());
         until = until.compareTo(longest) > 0 ? longest : until;
-        used = mayWiden ? table : used == null ? Table.of(site, table.incarnation(), table.sequence(), relation, table.lease(), java.util.List.of())
-                : used.narrowed(table);
+        used = mayWiden ? table : used == null ? none(table) : used.narrowed(table);
         return true;
     }
 
+    private Table none(Table like) {
+        return new Table(site, like.incarnation(), like.sequence(), relation, like.lease(), new TreeMap<>());
+    }
+
+    /** What ran out is held no longer: to use it again is to take it on anew. */
+    void expire(Duration now) {
+        if (used != null && now.compareTo(until) >= 0 && !used.routes().isEmpty()) {
+            used = none(latest);
+        }
+    }
+
     private boolean again(Table table, String itsDigest, Consumer<String> told) {
         if (!table.sameVersion(latest)) {
             told.accept(site + " came with " + version(table) + ", which is older than " + version(latest) + "; it is not taken");
@@ -63,7 +74,7 @@
         told.accept(site + " has two tables under " + version(table) + ", " + digest + " and " + itsDigest + "; neither is taken");
         if (!clashing) {
             clashing = true;
-            used = before == null ? new Table(site, table.incarnation(), table.sequence(), relation, table.lease(), new TreeMap<>()) : before.narrowed(latest);
+            used = before == null ? none(table) : before.narrowed(latest);
             until = beforeUntil;
         }
         used = used.narrowed(table);
--- a/src/main/java/merlinlever/routes/Routes.java
+++ b/src/main/java/merlinlever/routes/Routes.java
@@ -99,24 +99,35 @@
     /** The partner surely stood by the version at that moment of this process, or later, and it may be used for so long from then. */
     public boolean stoodBy(Duration now, String site, long incarnation, long sequence, String digest, Duration from, Duration lasts) {
         Partner its = partners.get(site);
-        if (its == null || !its.stoodBy(incarnation, sequence, digest, from, lasts)) {
+        if (its == null) {
+            return false;
+        }
+        its.expire(now);
+        if (!its.stoodBy(incarnation, sequence, digest, from, lasts)) {
             return false;
         }
+        widen(now, its);
         apply(now, its, Merge.NOBODY);
         return true;
     }
 
     /** To be asked for every few ms: what ran out goes, what was held back is taken on where it may be. */
     public void settle(Duration now) {
-        boolean mayWiden = seen.may(now, Act.ADOPT) == Permits.May.YES;
         for (Partner each : partners.values()) {
-            if (mayWiden && each.widen()) {
-                told.accept(each.site + ": " + Partner.version(each.latest()) + " is taken on whole");
+            each.expire(now);
+            if (each.used(now) != null) {
+                widen(now, each);
             }
             apply(now, each, Merge.NOBODY);
         }
     }
 
+    private void widen(Duration now, Partner its) {
+        if (seen.may(now, Act.ADOPT) == Permits.May.YES && its.widen()) {
+            told.accept(its.site + ": " + Partner.version(its.latest()) + " is taken on whole");
+        }
+    }
+
     /** For the calls of a key, best first, what is stale last; empty where this backend may not serve. */
     public List<Merge.Candidate> ways(Duration now, String key) {
         List<Merge.Candidate> fresh = new ArrayList<>(), stale = new ArrayList<>();
--- a/src/test/java/merlinlever/routes/PartnerTest.java
+++ b/src/test/java/merlinlever/routes/PartnerTest.java
@@ -26,7 +26,7 @@
     private final Routes routes = fresh();
 
     private Routes fresh() {
-        return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER)), 0.01, Damping.Figures.PUBLISHED, new Seen() {
+        return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER), new Routes.Stated("west", Relation.PEER)), 0.01, Damping.Figures.PUBLISHED, new Seen() {
             @Override public Standing standing(Duration now) {
                 return standing;
             }
@@ -75,6 +75,16 @@
         assertEquals(List.of(), costs(10.11));
     }
 
+    @Example void whatIsSilentIsUsedLast() {
+        says(0, of(1, route("t", 1, "east")));
+        Table west = table("west", 1, Relation.PEER, route("t", 9, "west"));
+        routes.offer(s(4), west);
+        routes.stoodBy(s(4), "west", 1, 1, TableWriter.digest(west), s(4), west.lease());
+        assertEquals(List.of(1, 9), costs(4));
+        assertEquals(List.of(9, 1), costs(6));
+        assertEquals(List.of(9), costs(11));
+    }
+
     @Example void whatComesLateTwiceOrOldWidensNothing() {
         Table first = of(1, route("t", 1, "east")), second = of(2, tight(route("t", 1, "east")));
         says(0, first);
@@ -100,6 +110,7 @@
                 each.offer(s(1), table);
                 each.stoodBy(s(4), "east", 1, 2, TableWriter.digest(table), s(4), s(10));
             });
+            order.forEach(table -> each.stoodBy(s(5), "east", 1, 2, TableWriter.digest(table), s(5), s(10)));
             each.settle(s(9));
             assertEquals(List.of(1), each.ways(s(9), "t/records").stream().map(way -> way.route().cost()).toList());
             each.settle(s(10));
