--- a/src/main/java/merlinlever/routes/Fellows.java
+++ b/src/main/java/merlinlever/routes/Fellows.java
@@ -20,7 +20,13 @@
     public record Say(String to, long number, String what) {
     }
 
-    private record Asked(long number, Duration at) {
+    /** The last question about a partner, and who has had the longest lease of it. */
+    private static final class Asked {
+        long number;
+        Duration at;
+        String best;
+        long bestLeft;
+        boolean bestAnswered;
     }
 
     private static final Duration SHORTEST = Duration.ofMillis(100);
@@ -54,18 +60,25 @@
         return word.topic().startsWith("routes.");
     }
 
-    /** What is to be asked now: of each partner whose lease is a quarter over, another one each eighth of it. */
+    /** What is to be asked now: of each partner whose lease is a quarter over, each eighth of it whoever had the most of it and another one. */
     public List<Say> look(Duration now, List<String> others) {
         List<Say> all = new ArrayList<>();
         for (String site : routes.sites()) {
             Routes.Holds holds = routes.holds(now, site);
             Duration lease = holds == null ? Table.SHORTEST.multipliedBy(4) : routes.latest(site).lease();
             Duration pause = lease.dividedBy(8).compareTo(SHORTEST) < 0 ? SHORTEST : lease.dividedBy(8);
-            Asked last = asked.get(site);
+            Asked last = asked.computeIfAbsent(site, each -> new Asked());
             if (!others.isEmpty() && (holds == null || holds.left().compareTo(lease.multipliedBy(3).dividedBy(4)) < 0)
-                    && (last == null || now.minus(last.at()).compareTo(pause) >= 0)) {
-                asked.put(site, new Asked(++number, now));
-                all.add(new Say(others.get(chance.nextInt(others.size())), number, "K/" + site));
+                    && (last.at == null || now.minus(last.at).compareTo(pause) >= 0)) {
+                last.number = ++number;
+                last.at = now;
+                last.bestLeft = last.bestAnswered ? last.bestLeft : 0;
+                last.bestAnswered = false;
+                String other = others.get(chance.nextInt(others.size()));
+                all.add(new Say(other, number, "K/" + site));
+                if (last.best != null && !last.best.equals(other) && others.contains(last.best)) {
+                    all.add(new Say(last.best, number, "K/" + site));
+                }
             }
         }
         return all;
@@ -80,11 +93,16 @@
                     + holds.sequence() + "/" + holds.digest() + "/" + holds.left().toMillis()));
         }
         Asked last = part.length == 6 ? asked.get(part[1]) : null;
-        if (part[0].equals("L") && last != null && last.number() == itsNumber) {
+        if (part[0].equals("L") && last != null && last.number == itsNumber) {
             try {
                 long left = Long.parseLong(part[5]);
                 if (left >= 0 && left <= Table.LONGEST.toMillis()) {
-                    routes.stoodBy(now, part[1], Long.parseLong(part[2]), Long.parseLong(part[3]), part[4], last.at(), Duration.ofMillis(left));
+                    if (name.equals(last.best) || left > last.bestLeft) {
+                        last.best = name;
+                        last.bestLeft = left;
+                        last.bestAnswered = true;
+                    }
+                    routes.stoodBy(now, part[1], Long.parseLong(part[2]), Long.parseLong(part[3]), part[4], last.at, Duration.ofMillis(left));
                 }
             } catch (NumberFormatException e) {
                 return List.of();
