--- a/src/main/java/merlinlever/faults/RoutesModel.java
+++ b/src/main/java/merlinlever/faults/RoutesModel.java
@@ -62,6 +62,10 @@
             this.name = name;
         }
 
+        public String name() {
+            return name;
+        }
+
         /** From now on its own routes are restricted so; null withdraws them. */
         public void restrict(Restrictions now_) {
             restrictions = now_;
--- a/src/main/java/merlinlever/faults/audit/Exports.java
+++ b/src/main/java/merlinlever/faults/audit/Exports.java
@@ -30,8 +30,9 @@
     private final Map<Long, String> effects = new TreeMap<>();
     private final Map<Long, Long> open = new TreeMap<>();
     private final List<String> breaches = new ArrayList<>();
+    private final Map<String, Long> last = new TreeMap<>();
     private final java.util.Set<String> leaking = new java.util.TreeSet<>();
-    private long calls, tables, lastUse, leaks;
+    private long calls, tables, leaks;
 
     /** @param relations what the second site is to the first */
     public Exports(BiFunction<String, String, Relation> relations, long leaseMs) {
@@ -73,7 +74,7 @@
     /** A call of a site came to the first of those sites, to be passed along the others. */
     public void call(long ms, String from, List<String> path, boolean effect) {
         calls++;
-        lastUse = ms;
+        last.put(path.get(path.size() - 1), ms);
         String why = look(from, path, ms, path.size() * lease, effect);
         if (why != null) {
             breach(ms + ": a call of " + why);
@@ -147,8 +148,13 @@
         return List.copyOf(breaches);
     }
 
-    /** Calls and tables seen between sites, and when the last such call was. */
+    /** When the last call along a route of the origin was sent. */
+    public long lastOf(String origin) {
+        return last.getOrDefault(origin, 0L);
+    }
+
+    /** Calls and tables seen between sites. */
     public long[] counts() {
-        return new long[] {calls, tables, lastUse};
+        return new long[] {calls, tables};
     }
 }
