--- a/src/main/java/merlinlever/budgets/net/Budgets.java
+++ b/src/main/java/merlinlever/budgets/net/Budgets.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import merlinlever.budgets.Budget;
@@ -9,31 +10,33 @@
 import merlinlever.members.Members;
 import merlinlever.net.Loop;
 import merlinlever.recovery.net.Rejoin;
+import merlinlever.term.Terms;
+import merlinlever.term.net.Leading;
+import merlinlever.view.Seen;
 
 /** One backend's part in the division of all budgets, on the loop and membership's datagrams. */
 public final class Budgets implements Members.Hearer {
 
+    private static final Set<String> WORDS = Set.of("Q", "G");
     private static final Duration LOOK = Duration.ofMillis(20);
 
     private final Loop loop;
     private final Rejoin rejoin;
     private final Sharing sharing;
 
-    /**
-     * @param voters who may lead; the same everywhere
-     * @param life a number that no other life of this backend has
-     */
-    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, List<String> voters, long life, long seed, Sharing.Spender spender,
+    /** @param life a number that no other life of this backend has */
+    public Budgets(Loop loop, Rejoin rejoin, List<Budget> budgets, Leading leading, Seen seen, long life, long seed, Sharing.Spender spender,
             Consumer<String> log) {
         this.loop = loop;
         this.rejoin = rejoin;
-        sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, voters, rejoin.term(), rejoin::noted,
+        sharing = new Sharing(loop.clock().uptime(), rejoin.members().views().self(), life, budgets, leading.terms(),
                 new SplittableRandom(seed), spender, log);
-        rejoin.members().hears(this);
+        sharing.under(seen);
+        rejoin.members().hears(WORDS, this);
         loop.every(LOOK, () -> say(sharing.look(loop.clock().uptime())));
     }
 
-    private void say(List<Sharing.Say> all) {
+    private void say(List<Terms.Say> all) {
         all.forEach(each -> rejoin.members().say(each.to(), each.number(), each.what()));
         if (!all.isEmpty()) {
             rejoin.send();
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -192,14 +192,15 @@
     /** The configuration was replaced: the parties may be elsewhere now; all else stays as it was at the start. */
     private void reread(int readings) {
         try {
-            Parties parties = Parties.of(Json.flat(configuration()));
+            Map<String, String> rest = Json.flat(configuration());
+            Parties parties = Parties.of(rest);
             log.info("configuration read again: " + parties);
             assembly.agent.moveTo(parties.agent());
             assembly.records.moveTo(parties.records());
             reports.moveTo(parties.lookup());
             report();
             if (recovering != null) {
-                recovering.reread(Json.flat(configuration()));
+                recovering.reread(rest);
             }
         } catch (Unusable e) {
             log.warn("configuration not taken over: " + e.getMessage());
@@ -229,12 +230,14 @@
         // Within the grace work goes on; after it nothing new is begun, so nothing new need come.
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
             edge.close();
-            loop.every(Duration.ofMillis(10), this::endWhenAnswered);
+            Duration last = clock.uptime().plus(grace.compareTo(stop) < 0 ? stop.minus(grace) : Duration.ZERO);
+            loop.every(Duration.ofMillis(10), () -> endWhenAnswered(last));
         });
     }
 
-    private void endWhenAnswered() {
-        if (backend.inHand() == 0 && edge.allWritten()) {
+    /** Not before the last moment while a connection is open: what is written to it as it ends here would be lost. */
+    private void endWhenAnswered(Duration last) {
+        if (backend.inHand() == 0 && edge.allWritten() && (edge.none() || clock.uptime().compareTo(last) >= 0)) {
             Map<String, Long> watched = backend.watched();
             if (!watched.isEmpty()) {
                 log.info("watch: the watched settings would have decided otherwise " + watched);
--- a/src/main/java/merlinlever/faults/ServeFleet.java
+++ b/src/main/java/merlinlever/faults/ServeFleet.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import merlinlever.durable.Folders;
+import merlinlever.faults.audit.Incarnations;
 import merlinlever.faults.audit.Rules;
 import merlinlever.faults.audit.Shares;
 import merlinlever.faults.link.Links;
@@ -22,7 +24,9 @@
 import merlinlever.faults.party.Callers;
 import merlinlever.faults.party.RenderFarm;
 import merlinlever.faults.party.SharedParty;
+import merlinlever.faults.proc.Ports;
 import merlinlever.faults.proc.Processes;
+import merlinlever.members.Wire;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
 
@@ -38,8 +42,13 @@
      *
      * @param budget of the whole fleet's calls, or null where there are none
      * @param recovery whether the backends keep anything for their return; without it they start as they do on the platform
+     * @param together whether voters are named, so that they know who leads and who is there
      */
-    public record Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget) {
+    public record Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget, boolean together) {
+        public Stated(int count, boolean recovery, double perSecond, Duration window, Whole budget) {
+            this(count, recovery, perSecond, window, budget, budget != null);
+        }
+
         public Stated(int count, boolean recovery, double perSecond, Duration window) {
             this(count, recovery, perSecond, window, null);
         }
@@ -69,6 +78,7 @@
     private final Loop loop;
     private final UdpSwitch hub;
     private final Rules rules = new Rules();
+    private final Incarnations incarnations = new Incarnations();
     /** Null where no calls are made. */
     private final SharedParty party;
     private final Shares shares;
@@ -85,10 +95,12 @@
         List<InetSocketAddress> real = new ArrayList<>();
         List<InetSocketAddress> fronts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            real.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            real.add(new InetSocketAddress(HERE, Ports.free()));
             fronts.add(new InetSocketAddress(HERE, 0));
         }
         hub = new UdpSwitch(loop, links, real, fronts, seed);
+        Wire wire = new Wire(SECRET.getBytes(StandardCharsets.UTF_8));
+        on(none -> hub.tap((from, to, octets) -> incarnations.sent(name(from), name(to), wire.read(octets))));
         Files.createDirectories(root);
         Path secret = root.resolve("secret");
         Files.writeString(secret, SECRET);
@@ -106,8 +118,8 @@
         });
         party = shared[0];
         for (int i = 0; i < count; i++) {
-            InetSocketAddress listen = new InetSocketAddress(HERE, AgentFleet.freePort());
-            manages.add(new InetSocketAddress(HERE, AgentFleet.freePort()));
+            InetSocketAddress listen = new InetSocketAddress(HERE, Ports.free());
+            manages.add(new InetSocketAddress(HERE, Ports.free()));
             String name = name(i);
             SplittableRandom its = chance.split();
             on(none -> {
@@ -156,7 +168,7 @@
         String recovery = !stated.recovery() ? "" : ",\"recovery\":{\"state\":\"" + state(i) + "\",\"listen\":\"" + AgentFleet.text(real)
                 + "\",\"advertise\":\"" + AgentFleet.text(hub.front(i)) + "\",\"seeds\":[" + String.join(",", seeds)
                 + "],\"secret-file\":\"" + secret + "\",\"mark-ms\":200,\"patience-ms\":1500,\"spread-ms\":200"
-                + (stated.budget() == null ? "" : ",\"voters\":[" + voters() + "]") + "}";
+                + (!stated.together() ? "" : ",\"voters\":[" + voters() + "]") + "}";
         // Nobody reads the directory's reports here.
         return "{\"name\":\"" + name(i) + "\",\"listen\":\"" + AgentFleet.text(listen) + "\",\"agent\":\"" + AgentFleet.text(farms.get(i).address())
                 + "\",\"lookup\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed) + "\",\"stop_ms\":3000,\"manage\":\""
@@ -187,6 +199,23 @@
         return stated.count();
     }
 
+    /** The numbers of all backends, in a list of its own. */
+    public List<Integer> all() {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < count(); i++) {
+            all.add(i);
+        }
+        return all;
+    }
+
+    /** Starts every backend, and then its callers. */
+    public void startAll() throws IOException, InterruptedException {
+        for (int i : all()) {
+            start(i);
+        }
+        on(none -> callers.forEach(Callers::begin));
+    }
+
     public Stated stated() {
         return stated;
     }
@@ -237,8 +266,14 @@
         done.await();
     }
 
+    /** What the audit of the incarnations found; read on the loop's thread. */
+    public Incarnations incarnations() {
+        return incarnations;
+    }
+
     /** Starts it, the first time or again. */
     public void start(int i) throws IOException, InterruptedException {
+        between(() -> incarnations.began(name(i)));
         on(none -> {
             callers.get(i).away(false);
             farms.get(i).powerOn();
@@ -246,6 +281,27 @@
         processes.start(specs.get(i));
     }
 
+    /** The backend's disk was made such that it cannot know what it told; it does not run. */
+    public void forgot(int i) throws IOException, InterruptedException {
+        between(() -> incarnations.forgot(name(i)));
+    }
+
+    /** Between two lives of a backend: when all that the one sent has been heard. */
+    private void between(Runnable what) throws IOException, InterruptedException {
+        IOException[] failed = new IOException[1];
+        on(none -> {
+            try {
+                hub.takeIn();
+                what.run();
+            } catch (IOException e) {
+                failed[0] = e;
+            }
+        });
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+    }
+
     public boolean runs(int i) {
         return processes.starts(name(i)) > 0 && processes.seen(name(i)) == Processes.Seen.RUNNING;
     }
--- a/src/main/java/merlinlever/budgets/Election.java
+++ b/src/main/java/merlinlever/term/Election.java
@@ -1,4 +1,4 @@
-package merlinlever.budgets;
+package merlinlever.term;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.SplittableRandom;
 
 /**
- * Who divides: one leader at a time, by the promises of more than half of the stated voters. A promise holds for a lease
+ * Who leads: one leader at a time, by the promises of more than half of the stated voters. A promise holds for a lease
  * on the voter's own steady clock, so no two leaders can have one at the same time, whatever the Unix clocks say; its term
  * is on the voter's disk before it is given, so terms only go up. A voter that has just started may have promised anything
  * before and waits a whole lease. Times are since the process began.
@@ -37,7 +37,7 @@
     private long numbers;
     private final Map<Long, Duration> out = new HashMap<>();
     private final Map<String, Duration> promisedSince = new HashMap<>();
-    private Duration ledSince, nextAsk;
+    private Duration nextAsk;
     private long heardTerm, heardLeaderTerm;
     private String heardLeader;
     private Duration heardAt;
@@ -54,7 +54,7 @@
         this.chance = chance;
         promised = term;
         heardTerm = term;
-        promisedUntil = now.plus(Budget.slowest(lease, drift));
+        promisedUntil = now.plus(Drift.slowest(lease, drift));
         nextAsk = promisedUntil.plus(drawn());
     }
 
@@ -135,11 +135,16 @@
         promisedSince.merge(voter, at, (a, b) -> a.compareTo(b) > 0 ? a : b);
         if (!leads && leadsUntil() != null && now.compareTo(leadsUntil()) < 0) {
             leads = true;
-            ledSince = now;
             nextAsk = now;
         }
     }
 
+    /** Whether it leads, or the promises that hold at the least want but one more. */
+    boolean oneShort(Duration now) {
+        long hold = promisedSince.values().stream().filter(since -> now.compareTo(since.plus(Drift.surest(lease, drift))) < 0).count();
+        return leads || hold >= voters.size() / 2;
+    }
+
     /** The voter has promised a higher term to another, or knows of one. */
     public void refused(Duration now, long higher) {
         heardTerm = Math.max(heardTerm, higher);
@@ -147,14 +152,15 @@
 
     /** Until when more than half of the promises hold at the least, by any clock; null without them. */
     private Duration leadsUntil() {
-        if (promisedSince.size() <= voters.size() / 2) {
+        // Its own promise is needed: so the term is on its own disk, and no later life of it comes to the same term again.
+        if (promisedSince.size() <= voters.size() / 2 || !promisedSince.containsKey(self)) {
             return null;
         }
         Duration[] since = promisedSince.values().toArray(new Duration[0]);
         Arrays.sort(since);
         // The oldest of the youngest majority.
         Duration oldest = since[since.length - voters.size() / 2 - 1];
-        return oldest.plus(Budget.surest(lease, drift));
+        return oldest.plus(Drift.surest(lease, drift));
     }
 
     public boolean leads(Duration now) {
@@ -166,10 +172,6 @@
         return term;
     }
 
-    public Duration ledSince() {
-        return ledSince;
-    }
-
     /** A leader was heard; the highest term counts, and an older one is not listened to. */
     public void heardLeader(Duration now, String leader, long itsTerm) {
         if (itsTerm >= heardLeaderTerm) {
@@ -180,20 +182,16 @@
         }
     }
 
-    /** Who leads, and under which term. */
-    public record Leader(String name, long term) {
-    }
-
-    /** Whom to ask for a share: who leads as far as this one knows, or null. */
-    public Leader leader(Duration now) {
+    /** Who leads as far as this one knows, or null. */
+    public Leadership.Leader leader(Duration now) {
         if (leads(now)) {
-            return new Leader(self, term);
+            return new Leadership.Leader(self, term);
         }
         boolean holds = promisedTo != null && !promisedTo.equals(self) && now.compareTo(promisedUntil) < 0;
         if (heardLeader != null && now.minus(heardAt).compareTo(lease) < 0 && (!holds || heardLeaderTerm >= promised)) {
-            return new Leader(heardLeader, heardLeaderTerm);
+            return new Leadership.Leader(heardLeader, heardLeaderTerm);
         }
-        return holds ? new Leader(promisedTo, promised) : null;
+        return holds ? new Leadership.Leader(promisedTo, promised) : null;
     }
 
     public List<String> voters() {
