--- a/src/main/java/merlinlever/durable/Recorded.java
+++ b/src/main/java/merlinlever/durable/Recorded.java
@@ -16,7 +16,7 @@
  * a truncation and a rename after they returned, so that only what was proved is held forced. The files that were there
  * at the start are told whole, as forced.
  *
- * <p>Lines: {@code folder PATH} at each start, {@code had NAME BASE64}, {@code open NAME}, {@code write NAME OFFSET BASE64}, {@code force NAME},
+ * <p>Lines: {@code folder PATH FILES} at each start, {@code had NAME BASE64} for each of so many files, {@code open NAME}, {@code write NAME OFFSET BASE64}, {@code force NAME},
  * {@code truncate NAME LENGTH}, {@code rename FROM TO}, {@code delete NAME}, {@code sync}.
  */
 public final class Recorded implements Folder {
@@ -59,8 +59,9 @@
     public Recorded(Folder inner, Record record, String path) throws IOException {
         this.inner = inner;
         this.record = record;
-        record.line("folder " + path.replace(' ', '_'));
-        for (String name : inner.names()) {
+        List<String> there = inner.names();
+        record.line("folder " + path.replace(' ', '_') + " " + there.size());
+        for (String name : there) {
             record.line("had " + name + " " + BASE64.encodeToString(inner.read(name)));
         }
     }
--- a/src/main/java/merlinlever/faults/disk/CrashStates.java
+++ b/src/main/java/merlinlever/faults/disk/CrashStates.java
@@ -46,7 +46,8 @@
     }
 
     /** The folder was opened anew (a start of the process): what it holds is told by the lines that follow. */
-    private record Begin(String folder) implements Op {
+    /** @param had files that were there, each told by a line of its own after this one */
+    private record Begin(String folder, int had) implements Op {
     }
 
     private record Had(String name, byte[] octets) implements Op {
@@ -109,6 +110,27 @@
         for (int i = 0; i < lines.size(); i++) {
             ops.add(op(i + 1, lines.get(i)));
         }
+        return whole(ops, lines);
+    }
+
+    /** Without starts that ended before all was told that was there: they changed nothing, and what was before stands. */
+    private static CrashStates whole(List<Op> all, List<String> allLines) {
+        List<Op> ops = new ArrayList<>();
+        List<String> lines = new ArrayList<>();
+        for (int i = 0; i < all.size(); i++) {
+            int told = 0;
+            if (all.get(i) instanceof Begin begin) {
+                while (told < begin.had() && i + told + 1 < all.size() && all.get(i + told + 1) instanceof Had) {
+                    told++;
+                }
+                if (told < begin.had()) {
+                    i += told;
+                    continue;
+                }
+            }
+            ops.add(all.get(i));
+            lines.add(allLines.get(i));
+        }
         return new CrashStates(ops, lines);
     }
 
@@ -116,7 +138,7 @@
         String[] words = line.split(" ", -1);
         try {
             Op op = switch (words[0]) {
-                case "folder" -> words.length == 2 ? new Begin(words[1]) : null;
+                case "folder" -> words.length == 3 ? new Begin(words[1], Integer.parseInt(words[2])) : null;
                 case "had" -> words.length == 3 ? new Had(words[1], BASE64.decode(words[2])) : null;
                 case "open" -> words.length == 2 ? new Open(words[1]) : null;
                 case "write" -> words.length == 4 ? new Write(words[1], Long.parseLong(words[2]), BASE64.decode(words[3])) : null;
--- a/src/test/java/merlinlever/faults/disk/CrashStatesTest.java
+++ b/src/test/java/merlinlever/faults/disk/CrashStatesTest.java
@@ -13,6 +13,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import merlinlever.durable.DiskFolder;
 import merlinlever.durable.Recorded;
@@ -153,4 +154,16 @@
             TestFolders.remove(folder);
         }
     }
+
+    /** A process killed while it tells what it found has touched nothing: what stood before stands. */
+    @Example
+    void aStartThatWasCutOffWhileItToldWhatWasThereEmptiesNothing() throws Exception {
+        String before = "folder f 0\nopen a\nwrite a 0 eA==\nforce a\nsync\n";
+        for (String cutOff : List.of("folder f 2\n", "folder f 2\nhad a eA==\n", "folder f 2\nhad a eA==\nhad b e")) {
+            for (CrashStates.State state : CrashStates.of(before + cutOff).last()) {
+                assertEquals(Set.of("a"), state.files().keySet(), cutOff + state.how());
+            }
+        }
+        assertEquals(Set.of("b"), CrashStates.of(before + "folder f 1\nhad b eA==\n").last().get(0).files().keySet());
+    }
 }
