--- a/src/main/java/merlinlever/faults/proc/Ports.java
+++ b/src/main/java/merlinlever/faults/proc/Ports.java
@@ -32,29 +32,56 @@
     private Ports() {
     }
 
+    /** Where the search goes on; two that start at the same place are told apart by their claims alone. */
+    static synchronized void from(int place) {
+        next = place % PORTS;
+    }
+
     /** A port that nothing listens at, neither for streams nor for datagrams. */
-    public static synchronized int free() throws IOException {
+    public static int free() throws IOException {
+        return free(1);
+    }
+
+    /** The first of so many such ports in a row, 1000 at the most. */
+    public static synchronized int free(int count) throws IOException {
+        if (count < 1 || count > 1000) {
+            throw new IllegalArgumentException("1 to 1000 ports, not " + count);
+        }
         if (claims == null) {
             Path file = Path.of(System.getProperty("java.io.tmpdir")).resolve("merlinlever-ports-" + System.getProperty("user.name"));
             claims = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         }
         for (int tries = 0; tries < PORTS; tries++) {
-            int port = LOWEST + next++ % PORTS;
-            FileLock claim = claim(port);
-            if (claim == null) {
-                continue;
-            }
-            try (ServerSocket tcp = new ServerSocket(port, 1, HERE); DatagramSocket udp = new DatagramSocket(port, HERE)) {
-                if (udp.isBound() && tcp.isBound()) {
-                    CLAIMED.add(claim);
-                    return port;
+            int first = next % PORTS + count <= PORTS ? LOWEST + next % PORTS : LOWEST;
+            List<FileLock> claimed = new ArrayList<>();
+            while (claimed.size() < count) {
+                next = first - LOWEST + claimed.size() + 1;
+                FileLock claim = claim(first + claimed.size());
+                if (claim == null) {
+                    break;
                 }
-            } catch (IOException e) {
-                // In use; the next one.
+                claimed.add(claim);
+                if (!bindable(first + claimed.size() - 1)) {
+                    break;
+                }
+            }
+            if (claimed.size() == count && bindable(first + count - 1)) {
+                CLAIMED.addAll(claimed);
+                return first;
+            }
+            for (FileLock claim : claimed) {
+                claim.release();
             }
-            claim.release();
         }
-        throw new IOException("no port is free");
+        throw new IOException("no " + count + " ports in a row are free");
+    }
+
+    private static boolean bindable(int port) {
+        try (ServerSocket tcp = new ServerSocket(port, 1, HERE); DatagramSocket udp = new DatagramSocket(port, HERE)) {
+            return tcp.isBound() && udp.isBound();
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     private static FileLock claim(int port) throws IOException {
--- a/src/main/java/merlinlever/zone/follow/Follower.java
+++ b/src/main/java/merlinlever/zone/follow/Follower.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import merlinlever.zone.record.Names;
 import merlinlever.zone.record.Rec;
 import merlinlever.zone.record.Types;
@@ -283,10 +284,10 @@
     }
 
     /** One line for each change of mode, with the figures of that moment. */
-    private void mode(String to, String line) {
+    private void mode(String to, Supplier<String> line) {
         if (!to.equals(mode)) {
             mode = to;
-            log.accept(line);
+            log.accept(line.get());
         }
     }
 
@@ -296,12 +297,12 @@
         Claim mine;
         if (known.claims().isEmpty()) {
             if (!known.records().isEmpty()) {
-                mode("foreign", Names.text(stated.name) + " has records that are not ours: they are left alone; delete them, or choose another name");
+                mode("foreign", () -> Names.text(stated.name) + " has records that are not ours: they are left alone; delete them, or choose another name");
                 return null;
             }
             mine = new Claim(stated.owner, stated.holder, 1, 1);
         } else if (claim == null || !claim.owner().equals(stated.owner)) {
-            mode("foreign", Names.text(stated.name) + " belongs to " + (claim == null ? "somebody else" : claim.owner()) + ": it is left alone");
+            mode("foreign", () -> Names.text(stated.name) + " belongs to " + (claim == null ? "somebody else" : claim.owner()) + ": it is left alone");
             return null;
         } else if (claim.holder().equals(stated.holder) && (myTerm < 0 || claim.term() <= myTerm)) {
             // Ours: from this life, or from the one before, whose name we bear.
@@ -309,7 +310,7 @@
         } else {
             Duration silent = now.minus(watchedSince);
             if (silent.compareTo(stated.beat.multipliedBy(BEATS_TO_WAIT)) < 0) {
-                mode("by " + claim.holder(), claim.holder() + " keeps " + Names.text(stated.name) + "; this one stands by");
+                mode("by " + claim.holder(), () -> claim.holder() + " keeps " + Names.text(stated.name) + "; this one stands by");
                 return null;
             }
             mine = new Claim(stated.owner, stated.holder, Math.max(claim.term(), myTerm) + 1, 1);
@@ -387,7 +388,8 @@
     }
 
     private static boolean same(List<Rec> a, List<Rec> b) {
-        return sorted(a).equals(sorted(b));
+        // Mostly it is the very list that was written last.
+        return a.equals(b) || sorted(a).equals(sorted(b));
     }
 
     // ---- which records
@@ -396,13 +398,13 @@
     private List<Rec> wanted(Duration now) {
         List<Integer> all = fleet.alive(true);
         if (all.isEmpty() || all.size() < stated.keepAtLeast * fleet.size()) {
-            mode("keeping", String.format(Locale.ROOT, "only %d of %d instances alive: the last answer stays", all.size(), fleet.size()));
+            mode("keeping", () -> String.format(Locale.ROOT, "only %d of %d instances alive: the last answer stays", all.size(), fleet.size()));
             return null;
         }
         List<Integer> steady = fleet.alive(false);
         boolean enough = !steady.isEmpty() && steady.size() >= stated.keepAtLeast * fleet.size();
         List<Integer> chosen = enough ? steady : all;
-        mode(chosen.size() < all.size() ? "damping" : "following", String.format(Locale.ROOT, "%d of %d instances alive%s", all.size(), fleet.size(),
+        mode(chosen.size() < all.size() ? "damping" : "following", () -> String.format(Locale.ROOT, "%d of %d instances alive%s", all.size(), fleet.size(),
                 chosen.size() < all.size() ? ", " + (all.size() - chosen.size()) + " of them kept away for coming and going" : ""));
         return chosen.stream().map(stated.instances::get).toList();
     }
--- a/src/test/java/merlinlever/cli/fleet/FleetTest.java
+++ b/src/test/java/merlinlever/cli/fleet/FleetTest.java
@@ -8,8 +8,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.DatagramSocket;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import merlinlever.cli.Commands;
+import merlinlever.faults.proc.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -42,30 +41,6 @@
     private final int[] ports = new int[AGENTS];
     private final int[] gossip = new int[AGENTS];
 
-    private static int free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0); DatagramSocket same = new DatagramSocket(socket.getLocalPort())) {
-            return same.getLocalPort();
-        }
-    }
-
-    private static int freeRun(int count) throws IOException {
-        // A run of ports that nothing else is likely to take: under the range from which the system draws its own.
-        for (int from = 20_000 + (int) (ProcessHandle.current().pid() % 5000); from < 30_000; from += count) {
-            boolean all = true;
-            for (int port = from; port < from + count && all; port++) {
-                try (ServerSocket socket = new ServerSocket(port)) {
-                    all = socket.isBound();
-                } catch (IOException e) {
-                    all = false;
-                }
-            }
-            if (all) {
-                return from;
-            }
-        }
-        throw new IOException("no run of free ports");
-    }
-
     private void describe(int agent, int manage) throws IOException {
         Files.writeString(folder.resolve("secret"), "a-secret-of-16-or-more");
         Files.writeString(folder.resolve("mode"), "0");
@@ -212,10 +187,10 @@
 
     @Test void whatIsReportedIsSoThroughKillsStopsDrainsAndTheDeathOfAnAgent() throws Exception {
         for (int i = 0; i < AGENTS; i++) {
-            ports[i] = free();
-            gossip[i] = free();
+            ports[i] = Ports.free();
+            gossip[i] = Ports.free();
         }
-        int manage = freeRun(AGENTS * EACH);
+        int manage = Ports.free(AGENTS * EACH);
         for (int i = 0; i < AGENTS; i++) {
             describe(i, manage + i * EACH);
             launch(i);
--- a/src/test/java/merlinlever/host/run/HostAgentTest.java
+++ b/src/test/java/merlinlever/host/run/HostAgentTest.java
@@ -8,7 +8,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -20,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import merlinlever.faults.proc.Ports;
 import merlinlever.host.disk.Ledger;
 import merlinlever.host.front.HostFront;
 import merlinlever.host.state.Keeper;
@@ -45,10 +45,7 @@
     @BeforeEach void describe() throws Exception {
         hosted = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            int port;
-            try (ServerSocket free = new ServerSocket(0)) {
-                port = free.getLocalPort();
-            }
+            int port = Ports.free();
             Path mode = Files.writeString(folder.resolve("mode" + i), "0");
             hosted.add(new Hosted("t-" + i, "t", Map.of("zone", i == 0 ? "west" : "east"), List.of(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx32m", "-cp",
--- a/src/test/java/merlinlever/members/ViewsCheckTest.java
+++ b/src/test/java/merlinlever/members/ViewsCheckTest.java
@@ -9,7 +9,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -24,7 +23,8 @@
 
     private static final class State {
         final Views[] views = new Views[3];
-        final TreeMap<String, Views.Rumour> told = new TreeMap<>();
+        /** Which of all rumours that there can be were told. */
+        long told;
         boolean restarted, cLeft;
 
         State copy() {
@@ -32,7 +32,7 @@
             for (int i = 0; i < 3; i++) {
                 copy.views[i] = views[i].copy();
             }
-            copy.told.putAll(told);
+            copy.told = told;
             copy.restarted = restarted;
             copy.cLeft = cLeft;
             return copy;
@@ -41,7 +41,7 @@
         void tell() {
             for (int i = 0; i < 3; i++) {
                 for (Views.Rumour rumour : views[i].all()) {
-                    told.put(word(rumour), rumour);
+                    told |= 1L << place(rumour);
                 }
             }
         }
@@ -55,12 +55,8 @@
                     key.append((char) (rumour == null ? 0 : 1 + rumour.status().ordinal() + 4 * rumour.incarnation()));
                 }
             }
-            long bits = 0;
-            for (Views.Rumour rumour : told.values()) {
-                bits |= 1L << (rumour.name().charAt(0) - 'a') * 20 + rumour.status().ordinal() + 4 * (int) rumour.incarnation();
-            }
             for (int i = 0; i < 4; i++) {
-                key.append((char) (bits >>> 16 * i));
+                key.append((char) (told >>> 16 * i));
             }
             return key.append((char) ((restarted ? 1 : 0) + (cLeft ? 2 : 0))).toString();
         }
@@ -70,8 +66,21 @@
         }
     }
 
-    private static String word(Views.Rumour rumour) {
-        return rumour.name() + rumour.status().ordinal() + rumour.incarnation();
+    /** Of 20 each: four standings at five incarnations. */
+    private static final int EACH = 20;
+
+    private static int place(Views.Rumour rumour) {
+        assertTrue(rumour.incarnation() < EACH / 4, "no room for incarnation " + rumour.incarnation());
+        return (rumour.name().charAt(0) - 'a') * EACH + rumour.status().ordinal() + 4 * (int) rumour.incarnation();
+    }
+
+    private static final Views.Rumour[] RUMOURS = new Views.Rumour[3 * EACH];
+
+    static {
+        for (int place = 0; place < RUMOURS.length; place++) {
+            int who = place / EACH;
+            RUMOURS[place] = new Views.Rumour(NAMES[who], "g" + who, "p" + who, Views.Status.values()[place % 4], place % EACH / 4);
+        }
     }
 
     private static Views fresh(int i) {
@@ -100,7 +109,8 @@
                     next.add(made);
                 }
             }
-            for (Views.Rumour rumour : state.told.values()) {
+            for (long left = state.told; left != 0; left &= left - 1) {
+                Views.Rumour rumour = RUMOURS[Long.numberOfTrailingZeros(left)];
                 Views.Rumour known = state.views[i].of(rumour.name());
                 if (known != null && !Views.overrides(rumour, known)) {
                     // It says nothing new here: the same state.
@@ -175,8 +185,8 @@
             for (int i = 0; i < 3; i++) {
                 for (int k = 0; k < 3; k++) {
                     if (calm.live(i) && calm.live(k)) {
-                        assertEquals(Views.Status.ALIVE, calm.views[i].of(NAMES[k]).status(), state.key());
-                        assertEquals(calm.views[k].of(NAMES[k]), calm.views[i].of(NAMES[k]), state.key());
+                        assertEquals(Views.Status.ALIVE, calm.views[i].of(NAMES[k]).status(), state::key);
+                        assertEquals(calm.views[k].of(NAMES[k]), calm.views[i].of(NAMES[k]), state::key);
                     }
                 }
             }
--- a/src/test/java/merlinlever/net/NetTest.java
+++ b/src/test/java/merlinlever/net/NetTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import merlinlever.Ending;
+import merlinlever.faults.proc.Ports;
 import net.jqwik.api.Example;
 
 class NetTest {
@@ -108,10 +109,8 @@
 
     @Example
     void aConnectionEndsOnceAndInItsOwnWay() throws IOException {
-        int closed;
-        try (ServerSocket server = new ServerSocket(0)) {
-            closed = server.getLocalPort();
-        }
+        // One that no other process of these tests listens at meanwhile either.
+        int closed = Ports.free();
         Ends refused = connectTo(closed, loop(), false);
         assertEquals(List.of(Ended.REFUSED), refused.heard);
         assertTrue(Ended.REFUSED.ofCall().provesUnrun() && !Ended.BROKEN.ofCall().provesUnrun()
--- a/src/test/java/merlinlever/zone/client/ClientTest.java
+++ b/src/test/java/merlinlever/zone/client/ClientTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import merlinlever.faults.proc.Ports;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
 import merlinlever.zone.record.Names;
@@ -55,7 +56,7 @@
         asker = new Asker(loop, new SplittableRandom(1), () -> System.currentTimeMillis() / 1000);
         key = new Tsig.Key(Names.absolute("k."), "hmac-sha256", SECRET);
         new Thread(loop::run).start();
-        udp = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        udp = new DatagramSocket(Ports.free(), InetAddress.getLoopbackAddress());
         tcp = new ServerSocket(udp.getLocalPort(), 5, InetAddress.getLoopbackAddress());
     }
 
