--- a/src/main/java/merlinlever/faults/timeline/Plays.java
+++ b/src/main/java/merlinlever/faults/timeline/Plays.java
@@ -27,6 +27,9 @@
         ALL.put("shared-taken-back", WordsPlays::takenBack);
         ALL.put("shared-claimed-twice", WordsPlays::clash);
         ALL.put("shared-new-life", WordsPlays::overtaken);
+        ALL.put("routes-withdrawal-unheard", RoutesPlays::withdrawn);
+        ALL.put("routes-tightened", RoutesPlays::tightened);
+        ALL.put("routes-leak", RoutesPlays::leak);
     }
 
     private Plays() {
