--- a/src/main/java/merlinlever/term/Election.java
+++ b/src/main/java/merlinlever/term/Election.java
@@ -152,7 +152,8 @@
 
     /** Until when more than half of the promises hold at the least, by any clock; null without them. */
     private Duration leadsUntil() {
-        if (promisedSince.size() <= voters.size() / 2) {
+        // Its own promise is needed: so the term is on its own disk, and no later life of it comes to the same term again.
+        if (promisedSince.size() <= voters.size() / 2 || !promisedSince.containsKey(self)) {
             return null;
         }
         Duration[] since = promisedSince.values().toArray(new Duration[0]);
