--- a/src/main/java/merlinlever/cli/Together.java
+++ b/src/main/java/merlinlever/cli/Together.java
@@ -1,5 +1,7 @@
 package merlinlever.cli;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,8 +12,11 @@
 import merlinlever.budgets.Sharing;
 import merlinlever.budgets.net.Budgets;
 import merlinlever.core.Backend;
+import merlinlever.durable.Folders;
 import merlinlever.net.Loop;
 import merlinlever.recovery.net.Rejoin;
+import merlinlever.shared.Words;
+import merlinlever.shared.net.Spread;
 import merlinlever.term.net.Leading;
 import merlinlever.view.Act;
 import merlinlever.view.Permits;
@@ -19,7 +24,8 @@
 import merlinlever.view.net.Viewing;
 
 /**
- * What one backend decides and shares with the others of its fleet: who leads, who is there, limits of the whole fleet. Only where its
+ * What one backend decides and shares with the others of its fleet: who leads, who is there, what they know in common, limits of
+ * the whole fleet. Only where its
  * configuration names {@code recovery.voters}; elsewhere this class is never loaded.
  */
 final class Together implements Sharing.Spender {
@@ -27,10 +33,12 @@
     private final Loop loop;
     private final Backend backend;
     private final Viewing viewing;
+    private final Spread spread;
     /** Null where no limit is shared with the others. */
     private final Budgets budgets;
 
-    Together(Map<String, String> rest, Loop loop, Rejoin rejoin, Backend backend, long seed, Consumer<String> told) throws Serve.Unusable {
+    Together(Map<String, String> rest, Loop loop, Rejoin rejoin, Backend backend, long seed, Consumer<String> told)
+            throws Serve.Unusable, IOException {
         this.loop = loop;
         this.backend = backend;
         List<Budget> shared = budgets(rest);
@@ -44,6 +52,8 @@
         double drift = shared.isEmpty() ? 0.01 : shared.get(0).drift();
         Leading leading = new Leading(loop, rejoin, voters, lease, drift, seed, told);
         viewing = new Viewing(loop, rejoin, leading.terms(), Stated.usual(), life, seed, told);
+        spread = new Spread(loop, rejoin, Folders.open(Path.of(rest.get("recovery.state"), "shared"), System.getenv()), Words.Stated.usual(true),
+                leading.terms(), viewing.seen(), seed, told);
         budgets = shared.isEmpty() ? null : new Budgets(loop, rejoin, shared, leading, viewing.seen(), life, seed, this, told);
     }
 
@@ -123,6 +133,6 @@
 
     /** Further members of the JSON object that tells how far this one has come. */
     String json() {
-        return ",\"view\":" + viewing.json() + (budgets == null ? "" : ",\"budgets\":" + budgets.json());
+        return ",\"view\":" + viewing.json() + ",\"shared\":" + spread.json() + (budgets == null ? "" : ",\"budgets\":" + budgets.json());
     }
 }
