--- a/src/main/java/merlinlever/shared/Gossip.java
+++ b/src/main/java/merlinlever/shared/Gossip.java
@@ -7,12 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 
 /**
- * Decides what is told to whom. What is new goes to some others once, whole where it is small and by its version where not, and
+ * Decides what is told to whom. What is new goes to some others in two periods, whole where it is small and by its version where not, and
  * whoever takes it as new does the same (rumours that end by themselves: Demers et al. 1987). What that misses is made good by
  * comparing with one other each period: sums of all buckets, then versions of those that differ, then the words (as
  * Scuttlebutt: van Renesse et al. 2008; by buckets instead of one number an owner, as words come out of order here).
@@ -21,6 +22,8 @@
 
     /** A word up to that size is told whole at first, a larger one is announced and asked for. */
     private static final int SMALL = 1 << 10;
+    /** In so many periods a new word is told to some others; the second makes good most of what is lost of the first. */
+    private static final int ROUNDS = 2;
     /** Octets kept for the head of a letter. */
     private static final int HEAD = 64;
 
@@ -28,7 +31,8 @@
     private final Words.Stated stated;
     private final Supplier<List<String>> live;
     private final SplittableRandom chance;
-    private final Set<Word.Key> fresh = new LinkedHashSet<>();
+    /** To be told, with how often still. */
+    private final LinkedHashMap<Word.Key, Integer> fresh = new LinkedHashMap<>();
     /** What was asked for, and until when the answer is waited for: not from two at once. */
     private final LinkedHashMap<Word.Key, Duration> wanted = new LinkedHashMap<>();
     private Duration next;
@@ -49,7 +53,7 @@
     /** To be told to some others; one for each word held, at the most. */
     void fresh(Word.Key key) {
         wanted.remove(key);
-        fresh.add(key);
+        fresh.put(key, ROUNDS);
     }
 
     boolean due(Duration now) {
@@ -87,8 +91,9 @@
         List<Word> whole = new ArrayList<>();
         List<Lot.Line> announced = new ArrayList<>();
         long octets = 0;
-        for (Iterator<Word.Key> each = fresh.iterator(); each.hasNext(); ) {
-            Word.Key key = each.next();
+        for (Iterator<Map.Entry<Word.Key, Integer>> each = fresh.entrySet().iterator(); each.hasNext(); ) {
+            Map.Entry<Word.Key, Integer> entry = each.next();
+            Word.Key key = entry.getKey();
             Word word = lot.get(key);
             boolean small = word != null && Letters.wordOctets(word) <= SMALL;
             if (word != null && lot.told(key)) {
@@ -102,7 +107,9 @@
                     announced.add(lot.line(key));
                 }
             }
-            each.remove();
+            if (entry.setValue(entry.getValue() - 1) <= 1 || word == null) {
+                each.remove();
+            }
         }
         for (byte[] letter : packed(now, whole, announced)) {
             few.forEach(one -> out.add(new Carry(one, letter)));
