--- a/src/main/java/merlinlever/core/Work.java
+++ b/src/main/java/merlinlever/core/Work.java
@@ -48,6 +48,11 @@
         return id;
     }
 
+    /** What a repeat of it has in common with it; its id where nothing is. */
+    public String key() {
+        return mark != null ? mark : name;
+    }
+
     public String tariffName() {
         return tariffName;
     }
--- a/src/main/java/merlinlever/faults/party/SharedParty.java
+++ b/src/main/java/merlinlever/faults/party/SharedParty.java
@@ -22,6 +22,7 @@
     private final Duration takes;
     private final Shares shares;
     private final Listener listener;
+    private final java.util.Set<Line> lines = new java.util.LinkedHashSet<>();
 
     /** On the loop's thread, as all of it. */
     public SharedParty(Loop loop, InetSocketAddress address, Duration takes, Shares shares) throws IOException {
@@ -31,6 +32,7 @@
         listener = new Listener(loop, address, 4000, channel -> {
             Line made = new Line();
             made.connection = Connection.accepted(loop, channel, made, BUFFER, BUFFER);
+            lines.add(made);
             made.connection.readOn();
         }, () -> { });
         listener.accept();
@@ -44,6 +46,12 @@
         listener.close();
     }
 
+    /** It is lost: nothing listens, and what was open breaks off. */
+    public void lose() {
+        listener.close();
+        java.util.List.copyOf(lines).forEach(line -> line.connection.end(Ended.FAILED));
+    }
+
     private final class Line implements Connection.User {
         private final Map<String, Loop.Timer> calls = new HashMap<>();
         private Connection connection;
@@ -91,6 +99,7 @@
         }
 
         @Override public void ended(Ended how) {
+            lines.remove(this);
             java.util.List.copyOf(calls.keySet()).forEach(this::over);
             listener.gone();
         }
