--- a/src/main/java/merlinlever/shared/Ballots.java
+++ b/src/main/java/merlinlever/shared/Ballots.java
@@ -62,7 +62,7 @@
     /** A leader of the term proposes the value; false where a later one was promised, there is no room, or it proposed another. */
     boolean accept(long term, String name, byte[] value) {
         Entry known = all.get(name);
-        if (term < promised || !room(name) || known != null && !known.written && known.term == term && !Arrays.equals(known.value, value)) {
+        if (term < promised || !room(name) || known != null && (known.written || known.term == term) && !Arrays.equals(known.value, value)) {
             return false;
         }
         promised = term;
--- a/src/test/java/merlinlever/shared/DecreeTest.java
+++ b/src/test/java/merlinlever/shared/DecreeTest.java
@@ -192,6 +192,8 @@
         long now, terms;
         double loss;
         boolean may = true;
+        /** Nothing gets on any disk while it is held. */
+        boolean held;
 
         Fleet(long seed, int voting, int n) {
             chance = new SplittableRandom(seed);
@@ -288,7 +290,7 @@
             due.forEach(each -> send((int) each[2], nodes[(int) each[2]].came(clock((int) each[2]), "b" + each[1], (byte[]) each[3])));
             for (int i = 0; i < n; i++) {
                 send(i, nodes[i].look(clock(i)));
-                if (forcing[i] != null && now >= forcedAt[i]) {
+                if (forcing[i] != null && now >= forcedAt[i] && !held) {
                     disk[i] = forcing[i].octets();
                     long version = forcing[i].version();
                     forcing[i] = null;
@@ -396,6 +398,35 @@
         }
     }
 
+    @Example
+    void nothingIsWrittenWhileDisksAreHeldAndALaterLeaderKeepsToWhatMayHaveBeenWritten() {
+        Fleet fleet = new Fleet(4, 3, 3);
+        fleet.run(13_000);
+        fleet.held = true;
+        fleet.side[2] = 1;
+        fleet.lead(0, 1_000_000);
+        fleet.nodes[0].propose(fleet.clock(0), "end", octets("a"));
+        fleet.run(4000);
+        assertTrue(fleet.nodes[0].written("end").isEmpty());
+        assertTrue(fleet.nodes[1].json().contains("\"begun\":0"), "nobody has promised, so nothing is proposed");
+        fleet.held = false;
+        while (!fleet.nodes[1].json().contains("\"begun\":1")) {
+            fleet.step();
+        }
+        // Accepted by b1 and forced there, and its answer is lost: b0 does not know that it is written.
+        fleet.side[0] = 2;
+        fleet.run(300);
+        assertTrue(fleet.nodes[0].written("end").isEmpty());
+        fleet.net.clear();
+        fleet.leadsUntil[0] = 0;
+        fleet.side[2] = 0;
+        fleet.begin(1);
+        fleet.lead(2, 1_000_000);
+        fleet.nodes[2].propose(fleet.clock(2), "end", octets("c"));
+        fleet.run(3000);
+        assertArrayEquals(octets("a"), fleet.nodes[2].written("end").orElseThrow());
+    }
+
     @Example
     void aVoterWithoutItsDiskDoesNotVoteBeforeItIsTold() {
         Fleet fleet = new Fleet(2, 3, 3);
@@ -456,7 +487,7 @@
         assertFalse(ballots.accept(1, "more", octets("x")));
         assertTrue(ballots.written("r0", new byte[Ballots.MOST_VALUE]));
         assertFalse(ballots.written("r0", octets("other")));
-        assertTrue(ballots.accept(9, "r0", octets("other")));
+        assertFalse(ballots.accept(9, "r0", octets("other")));
         assertArrayEquals(new byte[Ballots.MOST_VALUE], ballots.get("r0").value(), "what is written stays, whatever is proposed");
         assertEquals(Ballots.MOST, Ballots.parsed(ballots.octets()).entries().size());
     }
