--- /dev/null
+++ b/src/test/java/merlinlever/routes/TableFilesTest.java
@@ -0,0 +1,58 @@
+package merlinlever.routes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import merlinlever.routes.net.TableFiles;
+import net.jqwik.api.Example;
+
+class TableFilesTest {
+
+    private static Duration s(double seconds) {
+        return Duration.ofMillis((long) (seconds * 1000));
+    }
+
+    private static int times;
+
+    private static void write(Path file, String text) throws IOException {
+        Files.writeString(file, text);
+        Files.setLastModifiedTime(file, FileTime.fromMillis(1_000_000_000L + 1000 * times++));
+    }
+
+    @Example void aLeaseCountsFromTheLastLookBeforeItWasWritten() throws IOException {
+        Path file = Files.createTempFile("merlinlever-routes", ".json");
+        try {
+            List<String> told = new ArrayList<>();
+            Routes routes = new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER)), 0, Damping.Figures.PUBLISHED, ExitsTest.whole(), told::add);
+            TableFiles files = new TableFiles(routes, Map.of("east", file), s(2), told::add);
+            String text = TableWriter.text(MergeTest.table("east", 1, Relation.PEER, MergeTest.route("t", 1, "east")));
+            write(file, text);
+            files.look(s(100));
+            assertEquals(0, routes.ways(s(100), "t/records").size(), "it may be of any age");
+            files.look(s(101));
+            write(file, text);
+            files.look(s(104));
+            // Asked for at 99 at the earliest.
+            assertEquals(1, routes.ways(s(108.9), "t/records").size());
+            assertEquals(0, routes.ways(s(109), "t/records").size());
+            files.look(s(106));
+            assertEquals(0, routes.ways(s(109), "t/records").size(), "a look alone is no word of the partner");
+            write(file, text.substring(0, text.length() / 2));
+            files.look(s(107));
+            assertEquals(1, told.stream().filter(line -> line.startsWith("east: the table")).count(), "a file in halves");
+            assertEquals(1, routes.ways(s(108), "t/records").size());
+            write(file, text.replace("\"site\":\"east\"", "\"site\":\"west\""));
+            files.look(s(108));
+            assertEquals(1, told.stream().filter(line -> line.endsWith("has a table of west")).count());
+        } finally {
+            Files.delete(file);
+        }
+    }
+}
