--- a/src/main/java/merlinlever/faults/RoutesModel.java
+++ b/src/main/java/merlinlever/faults/RoutesModel.java
@@ -6,9 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.TreeMap;
 import merlinlever.Ending;
 import merlinlever.faults.audit.Exports;
@@ -32,16 +30,13 @@
  * model's own: words late, lost, doubled and out of order, backends and sites cut off, killed and back, records services lost.
  * All from a seed; an auditor sees what passes between sites.
  */
-public final class RoutesModel {
+public final class RoutesModel extends Sometime {
 
     private static final double DRIFT = 0.01;
     private static final Exits.Tariff[] TARIFFS = {new Exits.Tariff("reads", Exits.Kind.RETRIABLE, true),
             new Exits.Tariff("orders", Exits.Kind.FINGERPRINTED, true)};
     private static final int STEP = 20;
 
-    private record Event(long at, long order, Runnable what) {
-    }
-
     /** One site: its service, and what it publishes. */
     public final class Site {
         final int index;
@@ -313,16 +308,12 @@
         }
     }
 
-    final SplittableRandom chance;
     final Duration lease;
     final int perSite;
     public final List<Site> sites = new ArrayList<>();
     private final Map<String, Relation> relations = new TreeMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     public final Exports audit;
-    public long now;
-    private long order, operations;
-    public double loss;
+    private long operations;
     /** Pairs of sites that do not hear each other; and calls stay home. */
     public final Set<String> cut = new HashSet<>();
     public boolean without;
@@ -331,7 +322,7 @@
 
     /** @param relations of pairs "a b": what b is to a; the other way round follows */
     public RoutesModel(long seed, int perSite, Duration lease, List<String> names, Map<String, Relation> relations) {
-        chance = new SplittableRandom(seed);
+        super(seed);
         this.lease = lease;
         this.perSite = perSite;
         relations.forEach((pair, its) -> {
@@ -353,19 +344,6 @@
         return sites.stream().filter(each -> each.name.equals(name)).findFirst().orElseThrow();
     }
 
-    public void later(long ms, Runnable what) {
-        events.add(new Event(now + ms, order++, what));
-    }
-
-    private void carry(Runnable what) {
-        if (chance.nextDouble() >= loss) {
-            int copies = chance.nextInt(20) == 0 ? 2 : 1;
-            for (int i = 0; i < copies; i++) {
-                later(1 + (chance.nextInt(50) == 0 ? chance.nextInt(4000) : chance.nextInt(30)), what);
-            }
-        }
-    }
-
     private void toFellow(Node from, Node to, Runnable what) {
         if (from != to && from.hears(to)) {
             carry(() -> {
@@ -389,15 +367,9 @@
 
     /** @param perStep operations that begin in each step of 20 ms, at drawn backends */
     public void run(long ms, int perStep) {
-        long until = now + ms;
-        while (now < until) {
-            long next = now + STEP;
-            while (!events.isEmpty() && events.peek().at <= next) {
-                Event event = events.poll();
-                now = Math.max(now, event.at);
-                event.what.run();
-            }
-            now = next;
+        long end = now + ms;
+        while (now < end) {
+            until(now + STEP);
             sites.forEach(site -> site.nodes.stream().filter(node -> node.up).forEach(Node::look));
             for (int i = 0; i < perStep; i++) {
                 Node node = sites.get(chance.nextInt(sites.size())).nodes.get(chance.nextInt(perSite));
--- a/src/test/java/merlinlever/routes/PartnerTest.java
+++ b/src/test/java/merlinlever/routes/PartnerTest.java
@@ -26,7 +26,8 @@
     private final Routes routes = fresh();
 
     private Routes fresh() {
-        return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER), new Routes.Stated("west", Relation.PEER)), 0.01, Damping.Figures.PUBLISHED, new Seen() {
+        return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER), new Routes.Stated("west", Relation.PEER)), 0.01,
+                Damping.Figures.PUBLISHED, new Seen() {
             @Override public Standing standing(Duration now) {
                 return standing;
             }
