--- a/src/test/java/merlinlever/core/PartnersTest.java
+++ b/src/test/java/merlinlever/core/PartnersTest.java
@@ -76,7 +76,7 @@
             if (ends.size() == 200) {
                 loop.stop();
             }
-        }, log, 100, routes, new Exits(routes, 1), new Own(Own.Stated.USUAL), tariffs, "records", rooms::add);
+        }, log, 100, routes, new Exits(routes, 1), new Own(new Own.Stated(3, Duration.ofMillis(500), 32, Duration.ofMillis(100), 3)), tariffs, "records", rooms::add);
         for (int i = 0; i < 200; i++) {
             long id = i;
             loop.in(Duration.ofMillis(5 * i), () -> partners.call(new Work(id, String.format("%016x", id), 0, "t", Duration.ZERO, null, new byte[0], null),
