--- a/src/main/java/merlinlever/faults/ViewFaults.java
+++ b/src/main/java/merlinlever/faults/ViewFaults.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SortedSet;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -20,6 +19,7 @@
 import merlinlever.faults.timeline.Event;
 import merlinlever.faults.timeline.Logs;
 import merlinlever.faults.timeline.Writer;
+import merlinlever.view.View;
 
 /**
  * Faults among real backends that know who is there: what each tells of its standing and its view is asked for all the
@@ -111,14 +111,15 @@
             if (view == null || view.isMissingNode()) {
                 continue;
             }
-            SortedSet<String> members = new TreeSet<>();
-            view.path("members").forEach(member -> members.add(member.asText()));
+            // Term and count.
+            String[] place = view.path("view").asText("0.0").split("\\.");
+            long number = place.length == 2 ? View.number(Long.parseLong(place[0]), Integer.parseInt(place[1])) : 0;
             OneView.Told its = new OneView.Told(fleet.name(i), fleet.processes().starts(fleet.name(i)), view.path("standing").asText(),
-                    view.path("number").asLong(), view.path("digest").asText(), members);
+                    number, view.path("digest").asText(), view.path("members").asInt());
             OneView.Told before = audit.last().get(its.by());
             if (before == null || !before.standing().equals(its.standing()) || before.number() != its.number()) {
-                logs.note(Instant.now(), its.by(), "* " + its.standing() + ", view " + (its.number() >> 20) + "." + (its.number() & 0xfffff) + ": "
-                        + String.join(" ", members));
+                logs.note(Instant.now(), its.by(), "* " + its.standing() + ", view " + view.path("view").asText() + " of " + its.members() + " members, hears "
+                        + view.path("hears").size());
             }
             audit.told(its);
             now.put(i, its);
@@ -145,8 +146,7 @@
     }
 
     private boolean allWhole(Map<Integer, OneView.Told> told) {
-        SortedSet<String> all = new TreeSet<>(fleet.all().stream().map(fleet::name).toList());
-        return told.size() == fleet.count() && told.values().stream().allMatch(each -> each.standing().equals("whole") && each.members().equals(all))
+        return told.size() == fleet.count() && told.values().stream().allMatch(each -> each.standing().equals("whole") && each.members() == fleet.count())
                 && told.values().stream().map(OneView.Told::number).distinct().count() == 1;
     }
 
@@ -175,7 +175,10 @@
             case PARTED, ONE_CUT_OFF -> {
                 all("parted: " + names(less) + " | " + names(most));
                 fleet.on(links -> links.partition(List.of(less, most)));
-                known = until(told -> stand(told, most, List.of("most")) && stand(told, less, List.of("few", "alone")));
+                // One that is gone for so long is taken out of the view; two of five are not waited for.
+                int members = kind == Kind.PARTED ? fleet.count() : most.size();
+                known = until(told -> stand(told, most, List.of("most")) && stand(told, less, List.of("few", "alone"))
+                        && most.stream().allMatch(i -> told.get(i).members() <= members));
             }
             case ONE_WAY -> {
                 int other = drawn.get(1);
--- a/src/main/java/merlinlever/faults/timeline/Plays.java
+++ b/src/main/java/merlinlever/faults/timeline/Plays.java
@@ -30,6 +30,13 @@
         ALL.put("routes-withdrawal-unheard", RoutesPlays::withdrawn);
         ALL.put("routes-tightened", RoutesPlays::tightened);
         ALL.put("routes-leak", RoutesPlays::leak);
+        ALL.put("view-parted", ViewPlays::parted);
+        ALL.put("view-leader-parted", ViewPlays::leaderParted);
+        ALL.put("view-stood-still", ViewPlays::stoodStill);
+        ALL.put("view-one-way", ViewPlays::oneWay);
+        ALL.put("view-flapping", ViewPlays::flapping);
+        ALL.put("view-bridge", ViewPlays::bridge);
+        ALL.put("view-restart", ViewPlays::restarted);
     }
 
     private Plays() {
