--- a/src/test/java/merlinlever/faults/timeline/PlaysTest.java
+++ b/src/test/java/merlinlever/faults/timeline/PlaysTest.java
@@ -1,7 +1,6 @@
 package merlinlever.faults.timeline;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.fail;
 
 import java.io.IOException;
@@ -39,8 +38,10 @@
         for (var each : Plays.all().entrySet()) {
             Path file = GOLDEN.resolve(each.getKey() + ".txt");
             String drawn = Writer.draw(each.getValue().get());
-            assertFalse(drawn.contains(Play.BROKEN), drawn);
-            if (RENEW) {
+            if (drawn.contains(Play.BROKEN)) {
+                // Whatever its file says.
+                different.add(each.getKey() + ": something is so that must never be:\n" + drawn);
+            } else if (RENEW) {
                 Files.createDirectories(GOLDEN);
                 Files.writeString(file, drawn);
             } else if (!Files.exists(file)) {
