--- a/src/main/java/merlinlever/faults/ViewModel.java
+++ b/src/main/java/merlinlever/faults/ViewModel.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -114,7 +113,7 @@
     public final Node[] nodes;
     private final long[] onDisk, wanted, diskAt, incarnation, pausedUntil;
     private final boolean[] frozen;
-    private final boolean[][] cut;
+    private final Cuts cuts;
     private final TreeMap<Long, List<Datagram>> net = new TreeMap<>();
     private final List<ArrayDeque<Held>> held = new ArrayList<>();
     private final List<Datagram> old = new ArrayList<>();
@@ -125,10 +124,10 @@
     public long now, octets, octetsOfMembers, datagrams;
     private long lives;
     /** Every membership that was numbered, and what was found that may not be. */
-    public final TreeMap<Long, View> numbered = new TreeMap<>();
-    public final List<String> breaches = new ArrayList<>();
+    private final ViewAudit audit = new ViewAudit();
+    public final TreeMap<Long, View> numbered = audit.numbered;
+    public final List<String> breaches = audit.breaches;
     public final ArrayDeque<String> log = new ArrayDeque<>();
-    private final Map<String, Long> highest = new TreeMap<>();
 
     /** @param alone membership without views */
     public ViewModel(long seed, int n, int voters, boolean alone) {
@@ -142,7 +141,7 @@
         incarnation = new long[n];
         pausedUntil = new long[n];
         frozen = new boolean[n];
-        cut = new boolean[n][n];
+        cuts = new Cuts(n);
         for (int i = 0; i < n; i++) {
             held.add(new ArrayDeque<>());
         }
@@ -189,25 +188,12 @@
     }
 
     public void cut(int from, int to, boolean is) {
-        cut[from][to] = is;
-    }
-
-    private int sideOf(int i) {
-        for (int k = 0; k < i; k++) {
-            if (!cut[i][k] && !cut[k][i]) {
-                return sideOf(k);
-            }
-        }
-        return i;
+        cuts.set(from, to, is);
     }
 
     /** Into how many sides it is parted, so that none reaches another, less one. */
     public int parted() {
-        TreeSet<Integer> sides = new TreeSet<>();
-        for (int i = 0; i < n; i++) {
-            sides.add(sideOf(i));
-        }
-        return sides.size() - 1;
+        return cuts.parted();
     }
 
     /** Whether all that may decide reach each other, in some steps. */
@@ -215,7 +201,7 @@
         TreeSet<Integer> sides = new TreeSet<>();
         for (int i = 0; i < n; i++) {
             if (runs(i) && !excused(i) && nodes[i].may(Act.DECIDE)) {
-                sides.add(sideOf(i));
+                sides.add(cuts.sideOf(i));
             }
         }
         return sides.size() <= 1;
@@ -223,17 +209,11 @@
 
     /** Each to a side; a datagram passes within one alone. */
     public void sides(int... side) {
-        for (int i = 0; i < n; i++) {
-            for (int k = 0; k < n; k++) {
-                cut[i][k] = side[i] != side[k];
-            }
-        }
+        cuts.sides(side);
     }
 
     public void heal() {
-        for (boolean[] each : cut) {
-            java.util.Arrays.fill(each, false);
-        }
+        cuts.heal();
         slow = 0;
         loss = 0;
         replays = 0;
@@ -268,7 +248,7 @@
                 old.set(chance.nextInt(old.size()), datagram);
             }
         }
-        if (to >= n || cut[from][to] || chance.nextDouble() < loss) {
+        if (to >= n || cuts.is(from, to) || chance.nextDouble() < loss) {
             return;
         }
         for (int copies = chance.nextInt(50) == 0 ? 2 : 1; copies > 0; copies--) {
@@ -311,7 +291,7 @@
         }
         if (replays > 0 && !old.isEmpty() && chance.nextDouble() < replays) {
             Datagram again = old.get(chance.nextInt(old.size()));
-            if (!cut[again.from][again.to]) {
+            if (!cuts.is(again.from, again.to)) {
                 arrive(again);
             }
         }
@@ -342,22 +322,11 @@
                 continue;
             }
             View view = node.sight.view();
-            View same = numbered.putIfAbsent(view.number(), view);
-            if (same != null && !same.members().equals(view.members())) {
-                breach(node.name + " holds another membership under " + view.told());
-            }
-            if (view.number() != node.number) {
-                String whose = node.place + node.name;
-                // A life that holds nothing yet has gone nowhere.
-                if (view.number() < highest.getOrDefault(whose, 0L)) {
-                    breach(node.name + " went back to " + view.told());
-                }
-                highest.merge(whose, view.number(), Math::max);
-                node.number = view.number();
-            }
+            audit.holds(now, node.name, node.place, node.number, view);
+            node.number = view.number();
             if (node.terms.leads(node.clock()) && !excused(node.place)) {
                 if (leader != null) {
-                    breach(leader + " and " + node.name + " lead");
+                    audit.breach(now, leader + " and " + node.name + " lead");
                 }
                 leader = node.name;
             }
@@ -372,12 +341,6 @@
         return frozen[i] && now < pausedUntil[i] + 6000;
     }
 
-    private void breach(String what) {
-        if (breaches.size() < 5) {
-            breaches.add(now + " ms: " + what);
-        }
-    }
-
     /** Who leads, or -1. */
     public int leader() {
         for (int i = 0; i < n; i++) {
@@ -390,13 +353,7 @@
 
     /** Memberships that followed on another one since that number. */
     public int changesSince(long number) {
-        int changes = 0;
-        View before = numbered.get(number);
-        for (View view : numbered.tailMap(number, false).values()) {
-            changes += before != null && before.members().equals(view.members()) ? 0 : 1;
-            before = view;
-        }
-        return changes;
+        return audit.changesSince(number);
     }
 
     public long highest() {
