--- a/src/test/java/merlinlever/view/ViewTest.java
+++ b/src/test/java/merlinlever/view/ViewTest.java
@@ -183,6 +183,18 @@
         }
     }
 
+    @Example
+    void thoseThatHearTooFewThemselvesAreNotCounted() {
+        Counted all = new Counted(5, 5);
+        for (long at = 0; at < 30_000; at += 100) {
+            all.number++;
+            for (String name : all.view.members()) {
+                all.cut.told(ms(at), name, all.number, all.view.number(), 0, name.equals("b3") ? 5 : 2, name.equals("b3") ? List.of() : List.of("b3"), ms(4000));
+            }
+            assertNull(all.cut.due(ms(at), "b0", all.view, all.rings, 3, name -> new Views.Rumour(name, "g", "-", Views.Status.ALIVE, 0), ms(4000)));
+        }
+    }
+
     // ---- one sight before words that are none
 
     @Example
