--- a/src/main/java/merlinlever/cli/Recovering.java
+++ b/src/main/java/merlinlever/cli/Recovering.java
@@ -8,13 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import merlinlever.Control;
 import merlinlever.core.Backend;
 import merlinlever.core.Stated;
 import merlinlever.durable.Folders;
 import merlinlever.log.Log;
 import merlinlever.members.Link;
 import merlinlever.net.Loop;
+import merlinlever.policy.Control;
 import merlinlever.recovery.Return;
 import merlinlever.recovery.net.Rejoin;
 
@@ -108,7 +108,8 @@
     }
 
     @Override public void keyed(Duration from, Duration to) {
-        backend.keyed(ofModule(loop, from), ofModule(loop, to));
+        boolean may = together == null || together.mayKeyed();
+        backend.keyed(ofModule(loop, from), ofModule(loop, may ? to : Duration.ZERO));
     }
 
     @Override public void guess(double capacity, double completions) {
--- a/src/main/java/merlinlever/core/Fleetwide.java
+++ b/src/main/java/merlinlever/core/Fleetwide.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
-import merlinlever.Control;
+import merlinlever.policy.Control;
 
 /** What this backend is told of its return and of its part in the fleet, kept for a module that is not there yet. */
 final class Fleetwide {
--- a/src/main/java/merlinlever/faults/timeline/Plays.java
+++ b/src/main/java/merlinlever/faults/timeline/Plays.java
@@ -23,6 +23,20 @@
         ALL.put("budgets-leader-paused", BudgetPlays::paused);
         ALL.put("budgets-lost-promises", BudgetPlays::lostPromises);
         ALL.put("budgets-two-restart", BudgetPlays::restarted);
+        ALL.put("shared-missed", WordsPlays::missed);
+        ALL.put("shared-taken-back", WordsPlays::takenBack);
+        ALL.put("shared-claimed-twice", WordsPlays::clash);
+        ALL.put("shared-new-life", WordsPlays::overtaken);
+        ALL.put("routes-withdrawal-unheard", RoutesPlays::withdrawn);
+        ALL.put("routes-tightened", RoutesPlays::tightened);
+        ALL.put("routes-leak", RoutesPlays::leak);
+        ALL.put("view-parted", ViewPlays::parted);
+        ALL.put("view-leader-parted", ViewPlays::leaderParted);
+        ALL.put("view-stood-still", ViewPlays::stoodStill);
+        ALL.put("view-one-way", ViewPlays::oneWay);
+        ALL.put("view-flapping", ViewPlays::flapping);
+        ALL.put("view-bridge", ViewPlays::bridge);
+        ALL.put("view-restart", ViewPlays::restarted);
     }
 
     private Plays() {
