--- a/src/main/java/merlinlever/faults/timeline/MemberNode.java
+++ b/src/main/java/merlinlever/faults/timeline/MemberNode.java
@@ -38,7 +38,7 @@
                         news.add(told(rumour));
                     }
                 }
-                return news.isEmpty() ? "" : ", " + Play.together(news);
+                return news.isEmpty() ? "" : ", " + Beliefs.together(news);
             }
         };
     }
--- a/src/main/java/merlinlever/faults/timeline/Play.java
+++ b/src/main/java/merlinlever/faults/timeline/Play.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -77,21 +76,6 @@
     private static final long STEP = 10;
     private static final Links.Fault USUAL = Links.Fault.delayed(Duration.ofMillis(STEP), Duration.ZERO);
 
-    /** What may be drawn: it is known later whether it is. */
-    private static final class Draft {
-        final long at;
-        final String node;
-        String what;
-        boolean shown;
-
-        Draft(long at, String node, String what, boolean shown) {
-            this.at = at;
-            this.node = node;
-            this.what = what;
-            this.shown = shown;
-        }
-    }
-
     private record Sent<M>(long at, long order, int from, int to, M message, Draft draft) {
     }
 
@@ -353,37 +337,11 @@
     private void believes(int i) {
         Place<M> place = places.get(i);
         Map<String, String> believed = new LinkedHashMap<>(place.node.believes(clock(names.get(i))));
-        List<String> changed = new ArrayList<>();
-        believed.forEach((about, what) -> {
-            if (!what.isEmpty() && !what.equals(place.believed.get(about))) {
-                changed.add(what);
-            }
-        });
-        place.believed.keySet().stream().filter(about -> !believed.containsKey(about)).forEach(about -> changed.add("no more of " + about));
+        List<String> changed = Beliefs.changed(place.believed, believed);
         place.believed = believed;
         if (!changed.isEmpty()) {
-            note(names.get(i), "* " + together(changed));
-        }
-    }
-
-    /** What is believed alike of several, one after the other, is said once. */
-    static String together(Collection<String> all) {
-        StringBuilder text = new StringBuilder();
-        String last = null;
-        for (String each : all) {
-            if (each.isEmpty()) {
-                continue;
-            }
-            int space = each.indexOf(' ');
-            String rest = space < 0 ? null : each.substring(space);
-            if (rest != null && rest.equals(last)) {
-                text.insert(text.length() - rest.length(), " " + each.substring(0, space));
-            } else {
-                text.append(text.length() == 0 ? "" : ", ").append(each);
-            }
-            last = rest;
+            note(names.get(i), "* " + Beliefs.together(changed));
         }
-        return text.toString();
     }
 
     private void send(int from, List<Out<M>> said) {
@@ -409,7 +367,7 @@
         for (int i = 0; i < places.size(); i++) {
             Place<M> place = places.get(i);
             if (place.node != null && !place.believed.isEmpty()) {
-                note(names.get(i), "* " + together(place.believed.values()));
+                note(names.get(i), "* " + Beliefs.together(place.believed.values()));
             }
         }
         drawn = now;
--- a/src/main/java/merlinlever/faults/timeline/WordsPlays.java
+++ b/src/main/java/merlinlever/faults/timeline/WordsPlays.java
@@ -30,7 +30,7 @@
     static Timeline missed() {
         return play(1, THREE).at(1000, p -> p.partition("b1 b2 | b3")).at(1100, p -> put(p, "b1", "x")).at(4000, Play::heal).until(7000).timeline("""
                 A word that was missed
-                b1's word does not reach b3, and is told once to whoever has not heard it. Each period one other is told sums of
+                b1's word does not reach b3, and new words are told for two periods alone. Each period one other is told sums of
                 all that is held (not drawn); they differ once the links are well, and what differs is asked for and given.""");
     }
 
