--- a/src/main/java/merlinlever/faults/ViewFaults.java
+++ b/src/main/java/merlinlever/faults/ViewFaults.java
@@ -59,7 +59,8 @@
     public record Outcome(Kind kind, long seed, int views, Duration parted, Duration healed, List<String> breaches, String timeline) {
         public String told() {
             return kind.word() + ", seed " + seed + ": " + (breaches.isEmpty() ? "passed" : "FAILED") + ", " + views + " views"
-                    + (parted == null ? "" : ", known after " + parted.toMillis() + " ms") + (healed == null ? "" : ", healed after " + healed.toMillis() + " ms")
+                    + (parted == null ? "" : ", known after " + parted.toMillis() + " ms") 
+                    + (healed == null ? "" : ", healed after " + healed.toMillis() + " ms")
                     + (breaches.isEmpty() ? "" : "\n  breach: " + String.join("\n  breach: ", breaches) + "\n" + timeline);
         }
     }
--- a/src/main/java/merlinlever/faults/timeline/BudgetNode.java
+++ b/src/main/java/merlinlever/faults/timeline/BudgetNode.java
@@ -79,13 +79,15 @@
     }
 
     @Override public List<Play.Out<Word>> heard(Duration now, String from, Word word) {
-        return out(Terms.WORDS.contains(word.what.split("/")[0]) ? terms.said(now, from, word.number, word.what) : sharing.said(now, from, word.number, word.what));
+        return out(Terms.WORDS.contains(word.what.split("/")[0]) ? terms.said(now, from, word.number, word.what)
+                : sharing.said(now, from, word.number, word.what));
     }
 
     @Override public Map<String, String> believes(Duration now) {
         Map<String, String> all = new LinkedHashMap<>();
         Leadership.Leader leader = terms.leader(now);
-        all.put("leader", leader == null ? "nobody leads" : terms.leads(now) ? "I lead, term " + leader.term() : leader.name() + " leads, term " + leader.term());
+        all.put("leader", leader == null ? "nobody leads"
+                : terms.leads(now) ? "I lead, term " + leader.term() : leader.name() + " leads, term " + leader.term());
         Matcher out = OUT.matcher(sharing.json(now));
         all.put("out", out.find() && !out.group(1).equals("-1") ? "given " + out.group(1) + " of " + BUDGET.whole() : "");
         all.put("share", "share " + sharing.share(now, 0));
--- a/src/main/java/merlinlever/faults/timeline/RoutesNode.java
+++ b/src/main/java/merlinlever/faults/timeline/RoutesNode.java
@@ -124,7 +124,8 @@
     private Route passed(Route route) {
         List<String> path = new ArrayList<>(List.of(self));
         path.addAll(route.path());
-        return new Route(route.tariff(), route.group(), self + ":1", route.calls(), route.cost() + 1, route.binding(), path, route.downFrom(), route.restrictions());
+        return new Route(route.tariff(), route.group(), self + ":1", route.calls(), route.cost() + 1,
+                route.binding(), path, route.downFrom(), route.restrictions());
     }
 
     @Override public Map<String, String> believes(Duration now) {
--- a/src/main/java/merlinlever/faults/timeline/ViewPlays.java
+++ b/src/main/java/merlinlever/faults/timeline/ViewPlays.java
@@ -50,7 +50,8 @@
 
     static Timeline leaderParted() {
         Play<Members.Message> play = play(2, THREE);
-        play.at(BEGIN + 500, p -> p.partition(leader(p) + " | " + String.join(" ", others(p, leader(p))))).at(BEGIN + 20_000, Play::heal).until(BEGIN + 45_000);
+        play.at(BEGIN + 500, p -> p.partition(leader(p) + " | " + String.join(" ", others(p, leader(p)))))
+                .at(BEGIN + 20_000, Play::heal).until(BEGIN + 45_000);
         return play.timeline("""
                 The one that leads is cut off
                 It leads no longer when its promises run out, and numbers no view; the other two have a new leader, and a new term
--- a/src/main/java/merlinlever/faults/timeline/WordsNode.java
+++ b/src/main/java/merlinlever/faults/timeline/WordsNode.java
@@ -78,8 +78,8 @@
         words.clashes().forEach(clash -> clashes.put(clash.owner(), clash));
         for (String owner : owners) {
             all.put(owner, clashes.containsKey(owner) ? owner + " claims two things" : words.of(owner, TOPIC)
-                    .map(its -> owner + " says " + new String(its.value(), StandardCharsets.UTF_8) + " (" + its.incarnation() + "." + its.sequence() + ")").orElse(
-                    spoke.contains(owner) ? owner + " says nothing" : ""));
+                    .map(its -> owner + " says " + new String(its.value(), StandardCharsets.UTF_8) + " ("
+                    + its.incarnation() + "." + its.sequence() + ")").orElse(spoke.contains(owner) ? owner + " says nothing" : ""));
             if (words.of(owner, TOPIC).isPresent()) {
                 spoke.add(owner);
             }
--- a/src/main/java/merlinlever/faults/timeline/WordsPlays.java
+++ b/src/main/java/merlinlever/faults/timeline/WordsPlays.java
@@ -43,7 +43,8 @@
     }
 
     static Timeline clash() {
-        return play(3, TWINS).at(10, p -> p.partition("b1 b2 | b1' b3")).at(20, p -> p.start("b1'")).at(500, p -> put(p, "b1", "x")).at(600, p -> put(p, "b1'", "y"))
+        return play(3, TWINS).at(10, p -> p.partition("b1 b2 | b1' b3")).at(20, p -> p.start("b1'")).at(500, p -> put(p, "b1", "x"))
+                .at(600, p -> put(p, "b1'", "y"))
                 .at(4000, Play::heal).until(7000).timeline("""
                 One version, claimed twice
                 Two backends run under the name b1 by mistake, and each says another thing under version 1.1. Whoever hears of
