--- a/src/main/java/merlinlever/cli/Commands.java
+++ b/src/main/java/merlinlever/cli/Commands.java
@@ -88,6 +88,14 @@
         }
     }
 
+    /** Where a measurement leaves its tables and charts, and how large it is. */
+    static final class To {
+        @CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts")
+        private java.nio.file.Path out;
+        @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs")
+        private boolean quick;
+    }
+
     @Command(name = "measure", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
             description = "Measure parts of this program against plain ones, on this machine alone.")
     static final class Measure implements Runnable {
@@ -99,57 +107,50 @@
         }
 
         @Command(name = "dns", mixinStandardHelpOptions = true, description = "Zone files, index, updates, queries, following. Some minutes.")
-        int dns(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.DnsMeasure(out, quick).run();
+        int dns(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.DnsMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "budgets", mixinStandardHelpOptions = true,
                 description = "Limits of the whole fleet: on virtual time with up to 1,000 backends, and on real ones under faults. Some minutes.")
-        int budgets(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.BudgetMeasure(out, quick).run();
+        int budgets(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.BudgetMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "trials", mixinStandardHelpOptions = true,
                 description = "Trials stopped early: wrong winners, operations needed, the way of an end through fleets on virtual time. Some minutes.")
-        int trials(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.TrialMeasure(out, quick).run();
+        int trials(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.TrialMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "routes", mixinStandardHelpOptions = true,
                 description = "Routes of partner sites: merging, and on virtual time tightening and the loss of a records service. Some minutes.")
-        int routes(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.RoutesMeasure(out, quick).run();
+        int routes(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.RoutesMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "shared", mixinStandardHelpOptions = true,
                 description = "Words that all backends share, on virtual time with up to 500 of them, against telling everything. Some minutes.")
-        int shared(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.SharedMeasure(out, quick).run();
+        int shared(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.SharedMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "view", mixinStandardHelpOptions = true,
                 description = "Who is there: up to 1,000 backends in virtual time, beside membership alone. Some minutes.")
-        int view(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "small sizes, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.ViewMeasure(out, quick).run();
+        int view(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.ViewMeasure(to.out, to.quick).run();
             return 0;
         }
 
         @Command(name = "recovery", mixinStandardHelpOptions = true,
                 description = "Fleets of backends that lose their power and come back, with what they keep and without. Some minutes.")
-        int recovery(@CommandLine.Option(names = "--out", required = true, paramLabel = "FOLDER", description = "for tables and charts") java.nio.file.Path out,
-                @CommandLine.Option(names = "--quick", description = "a small fleet, to see that it runs") boolean quick) throws Exception {
-            new merlinlever.measure.RecoveryMeasure(out, quick).run();
+        int recovery(@CommandLine.Mixin To to) throws Exception {
+            new merlinlever.measure.RecoveryMeasure(to.out, to.quick).run();
             return 0;
         }
     }
