--- a/src/test/java/merlinlever/budgets/SharingTest.java
+++ b/src/test/java/merlinlever/budgets/SharingTest.java
@@ -14,6 +14,9 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import merlinlever.faults.BudgetModel;
+import merlinlever.view.Seen;
+import merlinlever.view.Standing;
+import merlinlever.view.View;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -191,4 +194,41 @@
         assertTrue(fleet.nodes[0].share(fleet.clock(0), 0) >= 45, "" + fleet.nodes[0].share(fleet.clock(0), 0));
         assertEquals(0, Math.max(0, fleet.over));
     }
+
+    /** A leader whose standing does not let it gives nothing, not even to itself, and gives again when it does. */
+    @Example
+    void sharesAreGivenOnlyWhereTheStandingAmongTheOthersLetsThem() {
+        Budget budget = new Budget("calls", "calls", 100, Budget.Per.SECOND, Duration.ofSeconds(2), 0.01, Duration.ofSeconds(1), Map.of());
+        BudgetModel model = new BudgetModel(5, 3, budget);
+        Standing[] standing = {Standing.FEW};
+        Seen seen = new Seen() {
+            @Override public Standing standing(Duration now) {
+                return standing[0];
+            }
+
+            @Override public Duration since() {
+                return Duration.ZERO;
+            }
+
+            @Override public View view() {
+                return View.NONE;
+            }
+        };
+        for (int i = 0; i < 3; i++) {
+            model.nodes[i].under(seen);
+            model.wanted[i][0] = 50;
+        }
+        boolean led = false;
+        for (int i = 0; i < 1000; i++) {
+            model.step();
+            led |= model.leader() >= 0;
+            assertEquals(0, model.share(0) + model.share(1) + model.share(2));
+        }
+        assertTrue(led, "somebody led all the while");
+        standing[0] = Standing.MOST;
+        for (int i = 0; i < 500; i++) {
+            model.step();
+        }
+        assertTrue(model.share(0) + model.share(1) + model.share(2) > 90);
+    }
 }
