--- a/src/main/java/merlinlever/faults/TrialModel.java
+++ b/src/main/java/merlinlever/faults/TrialModel.java
@@ -21,7 +21,6 @@
 import merlinlever.trials.Trial;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 
 /**
  * Backends with one trial, on a network and clocks of the model's own: steps of 20 ms. Words and terms are the program's; standing is
@@ -139,19 +138,7 @@
             noted[i] = Math.max(noted[i], term);
             return true;
         }, chance.split(), line -> { });
-        Seen seen = new Seen() {
-            @Override public Standing standing(Duration when) {
-                return TrialModel.this.standing(i);
-            }
-
-            @Override public Duration since() {
-                return Duration.ZERO;
-            }
-
-            @Override public View view() {
-                return View.NONE;
-            }
-        };
+        Seen seen = new Stands(when -> TrialModel.this.standing(i));
         parts[i] = new Part(at, "b" + i, trials[i], seen, terms[i], new Register(i), words[i], line -> { });
     }
 
--- a/src/main/java/merlinlever/faults/timeline/RoutesNode.java
+++ b/src/main/java/merlinlever/faults/timeline/RoutesNode.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import merlinlever.faults.Stands;
 import merlinlever.routes.Damping;
 import merlinlever.routes.Merge;
 import merlinlever.routes.Relation;
@@ -14,9 +15,7 @@
 import merlinlever.routes.Rules;
 import merlinlever.routes.Table;
 import merlinlever.routes.TableWriter;
-import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 
 /**
  * A site of one backend in a play: each second it asks each partner what that stands by, and uses it for a lease from its
@@ -63,19 +62,7 @@
         next = born.now();
         List<Routes.Stated> stated = new ArrayList<>();
         this.partners.forEach((site, relation) -> stated.add(new Routes.Stated(site, relation)));
-        routes = new Routes(new Rules(self), stated, 0.01, Damping.Figures.PUBLISHED, new Seen() {
-            @Override public Standing standing(Duration now) {
-                return Standing.WHOLE;
-            }
-
-            @Override public Duration since() {
-                return Duration.ZERO;
-            }
-
-            @Override public View view() {
-                return View.NONE;
-            }
-        }, born.notes());
+        routes = new Routes(new Rules(self), stated, 0.01, Damping.Figures.PUBLISHED, new Stands(now -> Standing.WHOLE), born.notes());
     }
 
     List<Route> own() {
--- a/src/test/java/merlinlever/budgets/SharingTest.java
+++ b/src/test/java/merlinlever/budgets/SharingTest.java
@@ -14,9 +14,9 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import merlinlever.faults.BudgetModel;
+import merlinlever.faults.Stands;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -201,19 +201,7 @@
         Budget budget = new Budget("calls", "calls", 100, Budget.Per.SECOND, Duration.ofSeconds(2), 0.01, Duration.ofSeconds(1), Map.of());
         BudgetModel model = new BudgetModel(5, 3, budget);
         Standing[] standing = {Standing.FEW};
-        Seen seen = new Seen() {
-            @Override public Standing standing(Duration now) {
-                return standing[0];
-            }
-
-            @Override public Duration since() {
-                return Duration.ZERO;
-            }
-
-            @Override public View view() {
-                return View.NONE;
-            }
-        };
+        Seen seen = new Stands(now -> standing[0]);
         for (int i = 0; i < 3; i++) {
             model.nodes[i].under(seen);
             model.wanted[i][0] = 50;
--- a/src/test/java/merlinlever/core/PartnersTest.java
+++ b/src/test/java/merlinlever/core/PartnersTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import merlinlever.Ending;
+import merlinlever.faults.Stands;
 import merlinlever.faults.audit.Shares;
 import merlinlever.faults.party.SharedParty;
 import merlinlever.log.Log;
@@ -31,25 +32,12 @@
 import merlinlever.routes.net.Partners;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 
 /** Calls over real sockets of one process: the own service is lost in the middle of 200 of them. */
 class PartnersTest {
 
-    private static final Seen WHOLE = new Seen() {
-        @Override public Standing standing(Duration now) {
-            return Standing.WHOLE;
-        }
-
-        @Override public Duration since() {
-            return Duration.ZERO;
-        }
-
-        @Override public View view() {
-            return View.NONE;
-        }
-    };
+    private static final Seen WHOLE = new Stands(now -> Standing.WHOLE);
 
     /** How each call ended, by the place in their order; and what each party saw. */
     private static Map<Long, Ending> play(String kind, long[] seen, List<Long> rooms) throws Exception {
--- a/src/test/java/merlinlever/routes/ExitsTest.java
+++ b/src/test/java/merlinlever/routes/ExitsTest.java
@@ -13,9 +13,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import merlinlever.Ending;
+import merlinlever.faults.Stands;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 
 class ExitsTest {
@@ -29,19 +29,7 @@
     private final Exits exits = new Exits(routes, 1);
 
     static Seen whole() {
-        return new Seen() {
-            @Override public Standing standing(Duration now) {
-                return Standing.WHOLE;
-            }
-
-            @Override public Duration since() {
-                return Duration.ZERO;
-            }
-
-            @Override public View view() {
-                return View.NONE;
-            }
-        };
+        return new Stands(now -> Standing.WHOLE);
     }
 
     private static Route at(String site, int place, int calls, boolean binding, boolean retriableOnly) {
--- a/src/test/java/merlinlever/routes/PartnerTest.java
+++ b/src/test/java/merlinlever/routes/PartnerTest.java
@@ -11,9 +11,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
-import merlinlever.view.Seen;
+import merlinlever.faults.Stands;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -27,19 +26,7 @@
 
     private Routes fresh() {
         return new Routes(new Rules("me"), List.of(new Routes.Stated("east", Relation.PEER), new Routes.Stated("west", Relation.PEER)), 0.01,
-                Damping.Figures.PUBLISHED, new Seen() {
-            @Override public Standing standing(Duration now) {
-                return standing;
-            }
-
-            @Override public Duration since() {
-                return Duration.ZERO;
-            }
-
-            @Override public View view() {
-                return View.NONE;
-            }
-        }, told::add);
+                Damping.Figures.PUBLISHED, new Stands(now -> standing), told::add);
     }
 
     private static Duration s(double seconds) {
--- a/src/test/java/merlinlever/shared/DecreeTest.java
+++ b/src/test/java/merlinlever/shared/DecreeTest.java
@@ -16,10 +16,10 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import merlinlever.faults.Stands;
 import merlinlever.term.Leadership;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -92,19 +92,7 @@
                     return voters;
                 }
             };
-            Seen seen = new Seen() {
-                @Override public Standing standing(Duration at) {
-                    return may ? Standing.MOST : Standing.FEW;
-                }
-
-                @Override public Duration since() {
-                    return Duration.ZERO;
-                }
-
-                @Override public View view() {
-                    return View.NONE;
-                }
-            };
+            Seen seen = new Stands(at -> may ? Standing.MOST : Standing.FEW);
             nodes[i] = new Decree(clock(i), "b" + i, disk[i], leadership, seen, () -> others(i), chance.split(), line -> { });
         }
 
--- a/src/test/java/merlinlever/shared/net/SpreadTest.java
+++ b/src/test/java/merlinlever/shared/net/SpreadTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 import merlinlever.durable.DiskFolder;
+import merlinlever.faults.Stands;
 import merlinlever.faults.TestFolders;
 import merlinlever.net.Clock;
 import merlinlever.net.Loop;
@@ -29,7 +30,6 @@
 import merlinlever.term.net.Leading;
 import merlinlever.view.Seen;
 import merlinlever.view.Standing;
-import merlinlever.view.View;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -37,19 +37,7 @@
 /** Three that share, on real datagrams and real disks in one process. */
 class SpreadTest {
 
-    private static final Seen WHOLE = new Seen() {
-        @Override public Standing standing(Duration now) {
-            return Standing.WHOLE;
-        }
-
-        @Override public Duration since() {
-            return Duration.ZERO;
-        }
-
-        @Override public View view() {
-            return View.NONE;
-        }
-    };
+    private static final Seen WHOLE = new Stands(now -> Standing.WHOLE);
 
     private Path root;
     private Loop loop;
