--- a/src/main/java/merlinlever/faults/ViewModel.java
+++ b/src/main/java/merlinlever/faults/ViewModel.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -114,7 +113,7 @@
     public final Node[] nodes;
     private final long[] onDisk, wanted, diskAt, incarnation, pausedUntil;
     private final boolean[] frozen;
-    private final boolean[][] cut;
+    private final Cuts cuts;
     private final TreeMap<Long, List<Datagram>> net = new TreeMap<>();
     private final List<ArrayDeque<Held>> held = new ArrayList<>();
     private final List<Datagram> old = new ArrayList<>();
@@ -125,10 +124,10 @@
     public long now, octets, octetsOfMembers, datagrams;
     private long lives;
     /** Every membership that was numbered, and what was found that may not be. */
-    public final TreeMap<Long, View> numbered = new TreeMap<>();
-    public final List<String> breaches = new ArrayList<>();
+    private final ViewAudit audit = new ViewAudit();
+    public final TreeMap<Long, View> numbered = audit.numbered;
+    public final List<String> breaches = audit.breaches;
     public final ArrayDeque<String> log = new ArrayDeque<>();
-    private final Map<String, Long> highest = new TreeMap<>();
 
     /** @param alone membership without views */
     public ViewModel(long seed, int n, int voters, boolean alone) {
@@ -142,7 +141,7 @@
         incarnation = new long[n];
         pausedUntil = new long[n];
         frozen = new boolean[n];
-        cut = new boolean[n][n];
+        cuts = new Cuts(n);
         for (int i = 0; i < n; i++) {
             held.add(new ArrayDeque<>());
         }
@@ -189,22 +188,32 @@
     }
 
     public void cut(int from, int to, boolean is) {
-        cut[from][to] = is;
+        cuts.set(from, to, is);
     }
 
-    /** Each to a side; a datagram passes within one alone. */
-    public void sides(int... side) {
+    /** Into how many sides it is parted, so that none reaches another, less one. */
+    public int parted() {
+        return cuts.parted();
+    }
+
+    /** Whether all that may decide reach each other, in some steps. */
+    public boolean decidersOnOneSide() {
+        TreeSet<Integer> sides = new TreeSet<>();
         for (int i = 0; i < n; i++) {
-            for (int k = 0; k < n; k++) {
-                cut[i][k] = side[i] != side[k];
+            if (runs(i) && !excused(i) && nodes[i].may(Act.DECIDE)) {
+                sides.add(cuts.sideOf(i));
             }
         }
+        return sides.size() <= 1;
+    }
+
+    /** Each to a side; a datagram passes within one alone. */
+    public void sides(int... side) {
+        cuts.sides(side);
     }
 
     public void heal() {
-        for (boolean[] each : cut) {
-            java.util.Arrays.fill(each, false);
-        }
+        cuts.heal();
         slow = 0;
         loss = 0;
         replays = 0;
@@ -239,7 +248,7 @@
                 old.set(chance.nextInt(old.size()), datagram);
             }
         }
-        if (to >= n || cut[from][to] || chance.nextDouble() < loss) {
+        if (to >= n || cuts.is(from, to) || chance.nextDouble() < loss) {
             return;
         }
         for (int copies = chance.nextInt(50) == 0 ? 2 : 1; copies > 0; copies--) {
@@ -282,7 +291,7 @@
         }
         if (replays > 0 && !old.isEmpty() && chance.nextDouble() < replays) {
             Datagram again = old.get(chance.nextInt(old.size()));
-            if (!cut[again.from][again.to]) {
+            if (!cuts.is(again.from, again.to)) {
                 arrive(again);
             }
         }
@@ -313,31 +322,25 @@
                 continue;
             }
             View view = node.sight.view();
-            View same = numbered.putIfAbsent(view.number(), view);
-            if (same != null && !same.members().equals(view.members())) {
-                breaches.add(now + " ms: " + node.name + " holds another membership under " + view.told());
-            }
-            if (view.number() != node.number) {
-                String whose = node.place + node.name;
-                // A life that holds nothing yet has gone nowhere.
-                if (view.number() < highest.getOrDefault(whose, 0L)) {
-                    breaches.add(now + " ms: " + node.name + " went back to " + view.told());
-                }
-                highest.merge(whose, view.number(), Math::max);
-                node.number = view.number();
-            }
-            if (node.terms.leads(node.clock())) {
+            audit.holds(now, node.name, node.place, node.number, view);
+            node.number = view.number();
+            if (node.terms.leads(node.clock()) && !excused(node.place)) {
                 if (leader != null) {
-                    breaches.add(now + " ms: " + leader + " and " + node.name + " lead");
+                    audit.breach(now, leader + " and " + node.name + " lead");
                 }
                 leader = node.name;
             }
         }
-        while (log.size() > 400) {
+        while (log.size() > 60) {
             log.removeFirst();
         }
     }
 
+    /** Leases count on clocks that go on: one whose clock stood still with it counts on them for a while after. */
+    private boolean excused(int i) {
+        return frozen[i] && now < pausedUntil[i] + 6000;
+    }
+
     /** Who leads, or -1. */
     public int leader() {
         for (int i = 0; i < n; i++) {
@@ -350,13 +353,7 @@
 
     /** Memberships that followed on another one since that number. */
     public int changesSince(long number) {
-        int changes = 0;
-        View before = numbered.get(number);
-        for (View view : numbered.tailMap(number, false).values()) {
-            changes += before != null && before.members().equals(view.members()) ? 0 : 1;
-            before = view;
-        }
-        return changes;
+        return audit.changesSince(number);
     }
 
     public long highest() {
