Signals are handled from the first line on; configurations are checked as a whole

Seen by reading and by tests: Serve.main read, rehearsed and listened in the constructor and set the handlers after it, so a SIGHUP in that time ended the runtime; connections were accepted by the system before the notice to leave had anybody who heard it. The drain's grace was first parsed in Serve.leave: a grace that is no number failed there and the process never drained, and a stop_ms too large for a Duration in nanoseconds failed the same way. Other numbers out of range fell back to defaults in silence (Given.number), a class after one without a name was left out (Tariff.all), of two classes with one name both went by the terms of the second (Conductor.indices), a class whose name is a word of the settings was renamed (Stated.translate). A bad file at SIGHUP was said five times, and a second SIGHUP ran beside the readings of the first. Excluded: the runtime's own SIGTERM before the handlers ends it with 143 as it should.

Signals remembers what comes before there is a receiver; a shutdown hook waits only for a loop that runs or is about to; listening comes after that. Configuration reads and checks the file as a whole, at the start and at SIGHUP; SettingsCheck names the setting and what is allowed; what is missing and matters is one warning with what is assumed. The rehearsal gives way where the program's own start up to it took long (Rehearsal.longest).

Taken out, these lines make the tests named fail (runs on a scratch copy): Signals.ofProcess moved behind the constructor: StartAndStopTest.aHangUpWhileTheStartReadsIsCarriedOutAfterIt; "said == null ||" in Serve.reread: aFileThatStaysBadIsSaidOnceAndTheOldOneStays; NUMBERS.forEach in SettingsCheck: ConfigurationTest.whatCannotBeServed...; NAMED_BY_OTHERS in Stated: aClassNamedAsAWordOfTheSettingsKeepsItsName; the sum in Rehearsal.longest: RehearsalTest.

--- a/src/main/java/merlinlever/cli/Rehearsal.java
+++ b/src/main/java/merlinlever/cli/Rehearsal.java
@@ -24,6 +24,10 @@
 final class Rehearsal {
 
     private static final Duration LONGEST = Duration.ofMillis(2500);
+    /** From the beginning of the program; with what the first answers take it is to be ready in twice that. */
+    private static final Duration THROUGH = Duration.ofSeconds(5);
+    /** What the runtime takes before the program begins, in parts of what the program takes up to here: a little under one. */
+    private static final int RUNTIME = 1;
     private static final int OPERATIONS = 1500;
     private static final int CALLERS = 6;
     private static final InetSocketAddress AGENT = new InetSocketAddress(1);
@@ -132,7 +136,7 @@
         }
     }
 
-    private Rehearsal(Map<String, String> given, boolean calls) {
+    private Rehearsal(Map<String, String> given, boolean calls, Duration longest) {
         this.given = given;
         loop = new Loop(Clock.system(), failure -> { }, address -> address.equals(AGENT) ? new Agent(calls) : new Records());
         Log unheard = new Log(new PrintStream(OutputStream.nullOutputStream()), Instant::now);
@@ -142,15 +146,24 @@
             assembly.edge.take(user -> Connection.pair(loop, user, caller, BUFFER, 8 * BUFFER));
             loop.in(Duration.ofMillis(5), caller::ask);
         }
-        loop.in(LONGEST, loop::stop);
+        loop.in(longest, loop::stop);
+    }
+
+    /**
+     * For how long it may rehearse, given what the program took up to here: that is so much work on any machine, and where
+     * processor is short it took long. The rehearsal gives way then, and the program is ready in time.
+     */
+    static Duration longest(Duration took) {
+        Duration left = THROUGH.minus(took.multipliedBy(1 + RUNTIME));
+        return left.isNegative() ? Duration.ZERO : left.compareTo(LONGEST) < 0 ? left : LONGEST;
     }
 
     /** Returns how many operations it came to. */
-    static int run(Map<String, String> given, boolean calls) {
-        if (!given.containsKey("tariffs.0.name")) {
+    static int run(Map<String, String> given, boolean calls, Duration longest) {
+        if (longest.isZero()) {
             return 0;
         }
-        Rehearsal rehearsal = new Rehearsal(given, calls);
+        Rehearsal rehearsal = new Rehearsal(given, calls, longest);
         rehearsal.loop.run();
         return Math.min(rehearsal.asked, OPERATIONS);
     }
--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -1,31 +1,25 @@
 package merlinlever.cli;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import merlinlever.core.Backend;
-import merlinlever.core.Shape;
 import merlinlever.core.Stated;
 import merlinlever.directory.Reports;
 import merlinlever.http.EdgeNodes;
-import merlinlever.json.Json;
 import merlinlever.log.Log;
 import merlinlever.manage.Manage;
 import merlinlever.manage.Telling;
 import merlinlever.net.Clock;
-import merlinlever.net.HangUp;
 import merlinlever.net.Loop;
+import merlinlever.net.Signals;
 
 /** One real backend: puts the parties round the core and runs until it is told to leave. */
-public final class Serve {
+public final class Serve implements Signals.Receiver {
 
-    private static final Duration REPORT = Duration.ofSeconds(1);
     private static final Duration COMPARE = Duration.ofSeconds(1);
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
@@ -35,6 +29,7 @@
     private static final int CALLS_PART = 8;
     /** Descriptors that are for neither edge nodes nor calls: the other links, files of the runtime. */
     private static final int OTHER_DESCRIPTORS = 24;
+    private static final int LEAST_CALLS = 4;
     /** A configuration that cannot be used may be half written still: so often and so much later it is read again. */
     private static final int READINGS = 5;
     private static final Duration READ_AGAIN = Duration.ofMillis(100);
@@ -48,20 +43,11 @@
         }
     }
 
-    /** Where the parties are. */
-    private record Parties(InetSocketAddress agent, InetSocketAddress records, InetSocketAddress lookup) {
-        static Parties of(Map<String, String> configuration) throws Unusable {
-            return new Parties(address(configuration, "agent"),
-                    configuration.containsKey("records") ? address(configuration, "records") : null,
-                    address(configuration, "lookup"));
-        }
-    }
-
     private final Map<String, String> environment;
     private final Log log;
     private final Clock clock;
     private final Loop loop;
-    private final Map<String, String> given;
+    private final Configuration started;
     private final Assembly assembly;
     private final Backend backend;
     private final EdgeNodes edge;
@@ -70,87 +56,69 @@
     private final Manage manage;
     /** Null where it keeps nothing for a return, as on the platform; its class is not loaded then. */
     private final Recovering recovering;
-    private final Duration stopAfter;
     private final boolean listFollows;
     private final String rehearsed;
-    private final CountDownLatch over = new CountDownLatch(1);
+    /** The next reading of a configuration that could not be used, or null. */
+    private Loop.Timer readingAgain;
+    private boolean leaving;
 
-    public Serve(Map<String, String> environment, Log log) throws Unusable {
+    /** All but the listening, so that nobody is taken in before it is known who hears of the notice to leave. */
+    private Serve(Map<String, String> environment, Log log, long began) throws Unusable {
         this.environment = environment;
         this.log = log;
-        Map<?, ?> configuration = configuration();
-        Map<String, String> stated = configuration.get("settings") instanceof Map<?, ?> map ? Json.flat(map) : Map.of();
-        List<String> unknown = Stated.unknown(stated);
-        if (!unknown.isEmpty()) {
-            log.warn("settings that are not known: " + String.join(" ", unknown));
-        }
-        given = Stated.translate(stated);
-        List<String> problems = Shape.problems(given);
-        if (!problems.isEmpty()) {
-            throw new Unusable(environment.get("GW_CONFIG") + ": " + problems.get(0));
-        }
-        Map<String, String> rest = Json.flat(configuration);
-        InetSocketAddress listen = address(rest, "listen");
-        stopAfter = Duration.ofMillis((long) number(rest, "stop_ms", 3000));
-        int sockets = (int) number(rest, "limits.sockets", 1024);
-        int calls = Math.max(4, sockets / CALLS_PART);
+        started = Configuration.read(environment);
+        started.remarks().forEach(log::warn);
+        Map<String, String> rest = started.rest();
+        Map<String, String> given = started.given();
         try {
-            Parties parties = Parties.of(rest);
-            long began = System.nanoTime();
-            int operations = Rehearsal.run(given, parties.records() != null);
-            rehearsed = "rehearsed with " + operations + " operations in " + (System.nanoTime() - began) / 1_000_000 + " ms";
+            long rehearsing = System.nanoTime();
+            Duration longest = Rehearsal.longest(Duration.ofNanos(rehearsing - began));
+            int operations = Rehearsal.run(given, started.records() != null, longest);
+            rehearsed = "rehearsed with " + operations + " operations in " + (System.nanoTime() - rehearsing) / 1_000_000 + " ms";
             clock = Clock.system();
             loop = new Loop(clock, failure -> log.error("failed", failure));
-            assembly = new Assembly(loop, given, seed(rest.get("seed")), parties.agent(), parties.records(), calls, log);
+            assembly = new Assembly(loop, given, started.seed(), started.agent(), started.records(), calls(), log);
             backend = assembly.backend;
             edge = assembly.edge;
-            reports = new Reports(parties.lookup(), rest.getOrDefault("name", ""));
-            recovering = rest.containsKey("recovery.state") ? new Recovering(rest, loop, backend, given, seed(rest.get("seed")), log) : null;
-            edge.listen(listen, Math.max(16, sockets - OTHER_DESCRIPTORS - calls));
+            reports = new Reports(started.lookup(), started.name());
+            recovering = rest.containsKey("recovery.state") ? new Recovering(rest, loop, backend, given, started.seed(), log) : null;
             manage = rest.containsKey("manage") ? new Manage(loop, address(rest, "manage"), () -> Telling.of(backend.leaving(),
                     backend.healthy(), backend.inHand(), clock.uptime().toMillis(), backend.figures(),
                     recovering == null ? null : recovering.json())) : null;
         } catch (IOException e) {
-            throw new Unusable("cannot listen on " + rest.get("listen") + ": " + e.getMessage());
-        } catch (NumberFormatException e) {
-            throw new Unusable("the settings hold what is no number: " + e.getMessage());
+            throw new Unusable("cannot be started with: " + e.getMessage());
+        } catch (RuntimeException e) {
+            throw new Unusable("cannot be served: " + e);
         }
         // Any report keeps a backend listed, but where the list follows what is reported: there one takes it off.
         listFollows = Boolean.parseBoolean(given.get("server.readiness"));
-        loop.every(REPORT, this::report);
-        loop.every(COMPARE, clock::compare);
     }
 
-    private void report() {
-        if (!backend.leaving() || listFollows) {
-            reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
-        }
+    private int calls() {
+        return Math.max(LEAST_CALLS, started.sockets() / CALLS_PART);
     }
 
-    /** Reads the file that the environment names. */
-    private Map<?, ?> configuration() throws Unusable {
-        String file = environment.get("GW_CONFIG");
-        if (file == null) {
-            throw new Unusable("GW_CONFIG names no configuration");
-        }
+    private void listen() throws Unusable {
         try {
-            return Json.object(Files.readString(Path.of(file)));
+            edge.listen(address(started.rest(), "listen"), started.sockets() - OTHER_DESCRIPTORS - calls());
         } catch (IOException e) {
-            throw new Unusable("cannot read " + file + ": " + e.getClass().getSimpleName());
-        } catch (Json.Malformed e) {
-            throw new Unusable(file + ": " + e.getMessage());
+            throw new Unusable("cannot listen on " + started.rest().get("listen") + ": " + e.getMessage());
         }
+        loop.every(Reports.PERIOD, this::report);
+        loop.every(COMPARE, clock::compare);
     }
 
-    private static long seed(String hex) {
-        return hex != null && hex.matches("[0-9a-fA-F]{1,16}") ? Long.parseUnsignedLong(hex, 16) : 0;
+    private void report() {
+        if (!backend.leaving() || listFollows) {
+            reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
+        }
     }
 
     static double number(Map<String, String> rest, String name, double absent) throws Unusable {
         try {
             return Stated.number(rest, name, absent);
         } catch (NumberFormatException e) {
-            throw new Unusable("the configuration's " + name + " is no number");
+            throw new Unusable("the configuration's " + name + " is " + rest.get(name) + "; allowed: a number");
         }
     }
 
@@ -159,70 +127,97 @@
         int colon = text == null ? -1 : text.lastIndexOf(':');
         if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
                 || Integer.parseInt(text.substring(colon + 1)) > 65535) {
-            throw new Unusable("the configuration has no usable address under " + name);
+            throw new Unusable("the configuration's " + name + (text == null ? " is missing" : " is " + text) + "; allowed: ADDRESS:PORT");
         }
         InetSocketAddress address = new InetSocketAddress(text.substring(0, colon),
                 Integer.parseInt(text.substring(colon + 1)));
         if (address.isUnresolved()) {
-            throw new Unusable("the address under " + name + " is not known: " + text);
+            throw new Unusable("the configuration's " + name + " is not known: " + text);
         }
         return address;
     }
 
     static int main(Map<String, String> environment) {
-        Log log = new Log(System.out, Instant::now);
+        // Before anything else: a SIGHUP that nobody handles ends the runtime.
+        return main(environment, Signals.ofProcess(), new Log(System.out, Instant::now), System.err);
+    }
+
+    private static int main(Map<String, String> environment, Signals signals, Log log, PrintStream console) {
         try {
-            Serve serve = new Serve(environment, log);
-            HangUp.handle(() -> serve.loop.execute(() -> serve.reread(READINGS)));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> serve.leaveAndWait()));
+            Serve serve = new Serve(environment, log, System.nanoTime());
+            if (!signals.receive(serve)) {
+                return 0;
+            }
+            serve.listen();
             log.info("listening on " + serve.edge.address());
             log.info(serve.rehearsed);
-            try {
-                serve.loop.run();
-            } finally {
-                serve.over.countDown();
-            }
+            serve.loop.run();
             return 0;
         } catch (Unusable | IOException e) {
-            System.err.println("merlinlever: " + e.getMessage());
+            console.println(("merlinlever: " + inFile(environment) + e.getMessage()).replaceAll("\\p{Cntrl}", " "));
             return 1;
+        } finally {
+            // A shutdown hook waits for the loop, which runs no more.
+            signals.over();
         }
     }
 
-    /** The configuration was replaced: the parties may be elsewhere now; all else stays as it was at the start. */
-    private void reread(int readings) {
+    private static String inFile(Map<String, String> environment) {
+        return environment.containsKey("GW_CONFIG") ? environment.get("GW_CONFIG") + ": " : "";
+    }
+
+    @Override public void hangUp() {
+        loop.execute(() -> reread(READINGS, null));
+    }
+
+    @Override public void terminate() {
+        loop.execute(this::leave);
+    }
+
+    /**
+     * The configuration was replaced: the parties may be elsewhere now; all else stays as it was at the start.
+     *
+     * @param said why it could not be used at the first of these readings, or null
+     */
+    private void reread(int readings, String said) {
+        if (readingAgain != null) {
+            // That of a signal before, or the one that runs now.
+            readingAgain.callOff();
+            readingAgain = null;
+        }
         try {
-            Map<String, String> rest = Json.flat(configuration());
-            Parties parties = Parties.of(rest);
-            log.info("configuration read again: " + parties);
-            assembly.agent.moveTo(parties.agent());
-            assembly.records.moveTo(parties.records());
-            reports.moveTo(parties.lookup());
-            report();
+            Configuration read = Configuration.read(environment);
             if (recovering != null) {
-                recovering.reread(rest);
+                recovering.reread(read.rest());
             }
+            log.info("configuration read again: agent " + read.agent() + ", records " + read.records() + ", lookup " + read.lookup());
+            if (!read.given().equals(started.given())) {
+                log.warn("other settings than at the start, for the next start");
+            }
+            assembly.agent.moveTo(read.agent());
+            assembly.records.moveTo(read.records());
+            reports.moveTo(read.lookup());
+            report();
         } catch (Unusable e) {
-            log.warn("configuration not taken over: " + e.getMessage());
-            if (readings > 1) {
-                loop.in(READ_AGAIN, () -> reread(readings - 1));
+            // One line, however often it is read, and one more where it is whole at last and can't be used for another cause.
+            boolean last = readings <= 1;
+            if (said == null || last && !said.equals(e.getMessage())) {
+                log.warn("configuration not taken over, the one before stays: " + inFile(environment) + e.getMessage());
+            }
+            if (!last) {
+                String first = said == null ? e.getMessage() : said;
+                readingAgain = loop.in(READ_AGAIN, () -> reread(readings - 1, first));
             }
-        }
-    }
-
-    /** On the thread that the signal has started. */
-    private void leaveAndWait() {
-        loop.execute(this::leave);
-        try {
-            over.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
     private void leave() {
-        Duration stop = stopAfter.minus(LAST_WRITES);
-        Duration grace = Duration.ofMillis((long) Stated.number(given, "rules.drain-grace", 0));
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        Duration stop = started.stopAfter().minus(LAST_WRITES);
+        Duration grace = Duration.ofMillis((long) Stated.number(started.given(), "rules.drain-grace", 0));
         if (recovering != null) {
             recovering.leave();
         }
--- a/src/main/java/merlinlever/core/Stated.java
+++ b/src/main/java/merlinlever/core/Stated.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /** What is stated at start, by path: the operators' names and ours. The one translation, for every adapter. */
 public final class Stated {
@@ -52,17 +53,31 @@
             + "tenants servers service-type ordinal tick tier tiers zone zones clients marks-retry count watch")
             .split(" "));
 
+    /** What these hold was named by others, and stays as it is whatever word it is. */
+    private static final Set<String> NAMED_BY_OTHERS = Set.of("name", "names", "zone", "zones", "tiers", "service-type");
+
     private Stated() {
     }
 
     /** The values by our names. */
     public static Map<String, String> translate(Map<String, String> theirs) {
         Map<String, String> given = new HashMap<>();
-        theirs.forEach((path, value) ->
-                given.put(words(path, "\\.", ".", NAMES), words(value, ",", ",", VALUES)));
+        theirs.forEach((path, value) -> given.put(ours(path), NAMED_BY_OTHERS.contains(path.substring(path.lastIndexOf('.') + 1))
+                ? value : words(value, ",", part -> VALUES.getOrDefault(part, part))));
         return given;
     }
 
+    /** Our name of what is stated under the path. */
+    static String ours(String path) {
+        return words(path, ".", part -> NAMES.getOrDefault(part, part));
+    }
+
+    /** The operators' name of what is ours; a name that is the same in both stays. */
+    static String theirs(String name) {
+        return words(name, ".", part -> NAMES.entrySet().stream().filter(each -> each.getValue().equals(part))
+                .map(Map.Entry::getKey).findFirst().orElse(part));
+    }
+
     /** The number stated under our name, or the other where there is none. */
     public static double number(Map<String, String> given, String name, double absent) {
         String stated = given.get(name);
@@ -83,11 +98,11 @@
         return unknown;
     }
 
-    private static String words(String text, String split, String join, Map<String, String> ours) {
-        String[] parts = text.split(split, -1);
+    private static String words(String text, String between, UnaryOperator<String> word) {
+        String[] parts = text.split(between.equals(".") ? "\\." : between, -1);
         for (int i = 0; i < parts.length; i++) {
-            parts[i] = ours.getOrDefault(parts[i], parts[i]);
+            parts[i] = word.apply(parts[i]);
         }
-        return String.join(join, parts);
+        return String.join(between, parts);
     }
 }
--- /dev/null
+++ b/src/test/java/merlinlever/cli/ConfigurationTest.java
@@ -0,0 +1,151 @@
+package merlinlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** What a backend can be served with, and what is said where it can't or where something is assumed. */
+class ConfigurationTest {
+
+    private static final String GOOD = "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"agent\":\"127.0.0.1:1\",\"lookup\":\"127.0.0.1:2\","
+            + "\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":3200,\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":384},\"settings\":{"
+            + "\"family-info\":{\"n-cores\":4,\"memory-kb\":90000,\"gauges\":[\"cpu_busy\",\"runnable\"],\"halt\":\"drop\",\"say\":\"silent\","
+            + "\"calls-by-class\":[true,false],\"class-skip-worth\":[0.0,0.0]},"
+            + "\"invariants\":{\"drain-grace\":2000.0,\"overload-factor\":8.0},"
+            + "\"services\":[{\"name\":\"look\",\"semantics\":\"repeatable\",\"aim\":200.0,\"hard-limit\":400.0,\"gain\":1.0},"
+            + "{\"name\":\"buy\",\"semantics\":\"by_key\",\"aim\":200.0,\"hard-limit\":400.0,\"window\":900.0}]}}";
+
+    private static Configuration read(byte[] text) throws IOException, Serve.Unusable {
+        Path file = Files.createTempFile("merlinlever", ".json");
+        try {
+            Files.write(file, text);
+            return Configuration.read(Map.of("GW_CONFIG", file.toString()));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static Configuration read(String text) throws IOException, Serve.Unusable {
+        return read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** One part of the good one, which is there, replaced by another. */
+    private static String with(String part, String other) {
+        assertTrue(GOOD.contains(part), part);
+        return GOOD.replace(part, other);
+    }
+
+    private static void refused(String text, String... says) {
+        String message = assertThrows(Serve.Unusable.class, () -> read(text), text).getMessage();
+        for (String each : says) {
+            assertTrue(message.contains(each), message + " for " + text);
+        }
+    }
+
+    @Example
+    void whatIsWholeIsTakenWithoutARemark() throws Exception {
+        Configuration good = read(GOOD);
+        assertEquals(List.of(), good.remarks());
+        assertEquals(0x8c1f30d27a5be964L, good.seed());
+        assertEquals(3200, good.stopAfter().toMillis());
+    }
+
+    /**
+     * Against settings that pass at the start and fail in service: a grace that is no number stopped the notice to leave, a
+     * stop too far away as well; a memory or core count out of range was replaced in silence, a class after one without a
+     * name was left out, and of two classes with one name the first was served by the terms of the second.
+     */
+    @Example
+    void whatCannotBeServedIsRefusedByNameWithWhatIsAllowed() {
+        refused(with("2000.0", "\"soon\""), "invariants.drain-grace is \"soon\"", "allowed: a number from 0");
+        refused(with("2000.0", "-1"), "invariants.drain-grace");
+        refused(with("2000.0", "1e300"), "invariants.drain-grace");
+        for (String bad : new String[] {"0", "-4", "\"NaN\"", "\"Infinity\"", "\"many\""}) {
+            refused(with("\"n-cores\":4", "\"n-cores\":" + bad), "family-info.n-cores", "above 0");
+            refused(with("\"memory-kb\":90000", "\"memory-kb\":" + bad), "family-info.memory-kb", "above 0");
+            refused(with("\"window\":900.0", "\"window\":" + bad), "services.1.window", "above 0");
+            refused(with("\"aim\":200.0", "\"aim\":" + bad), "services.0.aim", "above 0");
+        }
+        refused(with("8.0", "0"), "invariants.overload-factor");
+        refused(with("\"gain\":1.0", "\"gain\":-1"), "services.0.gain");
+        refused(with("by_key", "by_kee"), "services.1.semantics is \"by_kee\"", "by_key, once, repeatable");
+        refused(with("\"drop\"", "\"dorp\""), "family-info.halt", "drop");
+        refused(with("[true,false]", "[true,\"no\"]"), "family-info.calls-by-class", "true, false");
+        refused(with("[0.0,0.0]", "[0.0,\"x\"]"), "family-info.class-skip-worth");
+        refused(with("\"buy\"", "\"look\""), "services.1.name is \"look\"", "no other class");
+        refused(with("\"name\":\"look\",", ""), "services");
+        refused(with("\"name\":\"buy\",", "") .replace("}]}}", "},{\"name\":\"pay\"}]}}"), "services.1.name is missing");
+        refused(GOOD.substring(0, GOOD.indexOf("\"services\"")) + "\"services\":[]}}", "services is missing", "one class or more");
+        refused(with("\"settings\":{", "\"settings\":[],\"other\":{"), "services is missing");
+        for (String bad : new String[] {"-1", "1e12", "\"NaN\"", "\"soon\"", "true"}) {
+            refused(with("3200", bad), "stop_ms is", "allowed: a number");
+        }
+        for (String bad : new String[] {"-1", "0", "31", "1e300", "\"NaN\""}) {
+            refused(with("384", bad), "limits.sockets is", "allowed: a number");
+        }
+        refused(with("\"agent\":\"127.0.0.1:1\"", "\"agent\":\"127.0.0.1:0\""), "agent has port 0");
+        refused(with("127.0.0.1:2", "127.0.0.1:70000"), "lookup is 127.0.0.1:70000", "ADDRESS:PORT");
+        refused(with("\"listen\":\"127.0.0.1:0\",", ""), "listen is missing");
+        refused("{\"a\":\"" + "x".repeat(1 << 20) + "\"}", "longer than");
+        refused(GOOD.substring(0, 300), "no JSON object");
+    }
+
+    /** Against a failure that is not told in one line: bytes that are no text, a folder in the file's place. */
+    @Example
+    void whatIsNoTextOrNoFileIsSaid() {
+        assertThrows(Serve.Unusable.class, () -> read(new byte[] {'{', (byte) 0xff, '}'}));
+        String message = assertThrows(Serve.Unusable.class, () -> Configuration.read(Map.of("GW_CONFIG", "src"))).getMessage();
+        assertTrue(message.contains("cannot be read"), message);
+        assertThrows(Serve.Unusable.class, () -> Configuration.read(Map.of()));
+    }
+
+    /** Against defaults that hide a missing setting: each that matters is named in one line, with what is assumed. */
+    @Example
+    void whatIsMissingAndMattersIsSaidInOneLine() throws Exception {
+        String[][] each = {{"\"n-cores\":4,", "family-info.n-cores (1)"}, {"\"memory-kb\":90000,", "family-info.memory-kb (no limit)"},
+            {"\"drain-grace\":2000.0,", "invariants.drain-grace (0 ms)"}, {",\"overload-factor\":8.0", "invariants.overload-factor (2)"},
+            {",\"window\":900.0", "services.1.window (10000 ms)"}, {"\"aim\":200.0,", "services.0+1.aim (1000 ms)"},
+            {"\"semantics\":\"repeatable\",", "services.0.semantics (once)"}, {",\"runnable\"", "runnable in family-info.gauges"},
+            {"\"stop_ms\":3200,", "stop_ms (3000)"}, {",\"sockets\":384", "limits.sockets (1024)"}, {"\"seed\":\"8c1f30d27a5be964\",", "seed"}};
+        String none = GOOD;
+        for (String[] one : each) {
+            Configuration read = read(with(one[0], ""));
+            assertEquals(1, read.remarks().size(), one[0]);
+            assertTrue(read.remarks().get(0).startsWith("missing, and assumed: ") && read.remarks().get(0).contains(one[1]), read.remarks().get(0));
+            none = none.replace(one[0], "");
+        }
+        assertEquals(1, read(none).remarks().size());
+        assertTrue(read(with("[true,false]", "[true]")).remarks().get(0).contains("family-info.calls-by-class has 1 of 2"));
+        assertTrue(read(with("8c1f30d27a5be964", "8c1f30d27a5be96x")).remarks().get(0).contains("16 hex digits"));
+    }
+
+    /** The fleet's chances fall apart also where no seed is told. */
+    @Example
+    void withoutASeedTwoNamesHaveTwo() throws Exception {
+        String without = with("\"seed\":\"8c1f30d27a5be964\",", "");
+        assertFalse(read(without).seed() == read(without.replace("\"n3\"", "\"n4\"")).seed());
+    }
+
+    /** A class may have any name, also one that is a word of the settings; it was looked for under another then. */
+    @Example
+    void aClassNamedAsAWordOfTheSettingsKeepsItsName() throws Exception {
+        for (String name : new String[] {"sockets", "once", "silent", "repeatable"}) {
+            assertEquals(name, read(with("\"look\"", "\"" + name + "\"")).given().get("tariffs.0.name"));
+        }
+    }
+
+    /** New keys are skipped and named, as before. */
+    @Example
+    void aKeyThatIsNotKnownIsNoFault() throws Exception {
+        assertEquals(List.of("settings that are not known: family-info.cpus"), read(with("\"n-cores\":4", "\"n-cores\":4,\"cpus\":\"x\"")).remarks());
+    }
+}
--- a/src/test/java/merlinlever/cli/ServedProcess.java
+++ b/src/test/java/merlinlever/cli/ServedProcess.java
@@ -51,6 +51,11 @@
 
     Process start(String configuration) throws IOException {
         Files.writeString(file, configuration);
+        return startAgain();
+    }
+
+    /** With the file as it is. */
+    Process startAgain() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-cp", "target/classes", "merlinlever.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
--- /dev/null
+++ b/src/test/java/merlinlever/cli/StartAndStopTest.java
@@ -0,0 +1,340 @@
+package merlinlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import net.jqwik.api.Example;
+
+/**
+ * Signals that cross the start, each other, the greeting, a configuration that is being written, and the stop. Where a
+ * reading of the configuration is the barrier, the file is a pipe: it can be opened for writing once it is being read.
+ */
+class StartAndStopTest extends ServedProcess {
+
+    private static final String TOKEN = "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+
+    StartAndStopTest() throws IOException {
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + program.pid()).start().waitFor());
+    }
+
+    /** Sends it, and returns once the runtime has run its handler: its dispatcher waits again, and the handler's thread is over. */
+    private void handled(String name) throws IOException, InterruptedException {
+        String before = dispatcher();
+        signal(name);
+        String now = dispatcher();
+        while (now == null || now.equals(before)) {
+            assertTrue(program.isAlive());
+            now = dispatcher();
+        }
+    }
+
+    /** How often the runtime's dispatcher of signals has waited, or null while a handler runs. */
+    private String dispatcher() throws IOException {
+        String waits = null;
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/" + program.pid() + "/task"))) {
+            for (Path thread : threads) {
+                String status = Files.readString(thread.resolve("status"));
+                if (status.startsWith("Name:\tSIG") || waits != null && status.startsWith("Name:\tSignal")) {
+                    return null;
+                }
+                if (status.startsWith("Name:\tSignal")) {
+                    waits = status.substring(status.indexOf("\nvoluntary"), status.indexOf("\nnonvoluntary"));
+                }
+            }
+        } catch (NoSuchFileException | DirectoryIteratorException e) {
+            // A thread ended meanwhile.
+            return null;
+        }
+        return waits;
+    }
+
+    /** A new pipe in the file's place; who reads the one before goes on reading that. */
+    private void pipe() throws IOException, InterruptedException {
+        Path made = Path.of(file + ".pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", made.toString()).start().waitFor());
+        Files.move(made, file, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** The writing side of the pipe, once the program reads it; it fails where the program doesn't come. */
+    private OutputStream opened() throws IOException, InterruptedException {
+        Path here = file;
+        try {
+            return CompletableFuture.supplyAsync(() -> {
+                try {
+                    return Files.newOutputStream(here);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }).get(10, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AssertionError("it does not read its configuration", e);
+        }
+    }
+
+    /** Lets the program read this once, and meets its next reading at a new pipe. */
+    private void reads(String text) throws IOException, InterruptedException {
+        try (OutputStream out = opened()) {
+            pipe();
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private String said(String part) throws IOException {
+        String line = program.inputReader().readLine();
+        while (line != null && !line.contains(part)) {
+            line = program.inputReader().readLine();
+        }
+        assertTrue(line != null, "it never said " + part);
+        return line;
+    }
+
+    private void ends(int status) throws InterruptedException {
+        assertTrue(program.waitFor(10, TimeUnit.SECONDS), "it does not end");
+        assertEquals(status, program.exitValue());
+    }
+
+    /** The notice to leave has been heard: health is bad from it on. */
+    private Socket untilLeaving() throws IOException {
+        Socket check = ask("GET /status/live HTTP/1.1\r\n\r\n");
+        while (answer(check).status() != 503) {
+            ask(check, "GET /status/live HTTP/1.1\r\n\r\n");
+        }
+        return check;
+    }
+
+    private void movedAgent() throws IOException {
+        agents.close();
+        agents = new ServerSocket(0, 50, HERE);
+        patience();
+    }
+
+    /** Against a SIGHUP that ends the start, or is lost in it: what is read before it may be out of date. */
+    @Example
+    void aHangUpWhileTheStartReadsIsCarriedOutAfterIt() throws IOException, InterruptedException {
+        String old = configuration();
+        pipe();
+        startAgain();
+        try (OutputStream out = opened()) {
+            signal("HUP");
+            signal("HUP");
+            pipe();
+            out.write(old.getBytes(StandardCharsets.UTF_8));
+        }
+        movedAgent();
+        reads(configuration());
+        said("configuration read again");
+        link(0);
+        greet();
+        assertTrue(program.isAlive());
+    }
+
+    /** Against a shutdown hook that waits for a loop that does not run yet. */
+    @Example
+    void aTerminationWhileTheStartReadsEndsItAtOnce() throws IOException, InterruptedException {
+        pipe();
+        startAgain();
+        OutputStream out = opened();
+        signal("TERM");
+        ends(143);
+        out.close();
+    }
+
+    /** A start that fails by itself runs the shutdown hook too, which must not wait: nothing here ever ran. */
+    @Example
+    void whatCannotStartEndsWithOneLineThatNamesTheFile() throws IOException, InterruptedException {
+        String good = configuration();
+        String[][] bad = {{good.replace("\"stop_ms\":8000", "\"stop_ms\":-1"), "stop_ms is -1; allowed: a number from 0"},
+            {good.replace("127.0.0.1:0", "127.0.0.1:" + agents.getLocalPort()), "cannot listen on 127.0.0.1:" + agents.getLocalPort()},
+            {good.replace("\"drain-grace\":100", "\"drain-grace\":\"s\\noon\""), "invariants.drain-grace is \"s oon\"; allowed: a number"}};
+        for (String[] each : bad) {
+            start(each[0]);
+            String told = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            ends(1);
+            assertTrue(told.startsWith("merlinlever: " + file + ": ") && told.contains(each[1]), told);
+            assertEquals(told.length() - 1, told.indexOf('\n'), told);
+        }
+    }
+
+    /** Against a request that is read and not answered, run, or waited for, where the agent has not even greeted yet. */
+    @Example
+    void aTerminationBeforeTheGreetingAnswersAllAsNeverRunAndEnds() throws IOException, InterruptedException {
+        startUp();
+        Socket resting = ask("GET /status/live HTTP/1.1\r\n\r\n");
+        assertEquals(503, answer(resting).status());
+        signal("TERM");
+        Socket asking = ask(operation("look", "", ""));
+        Answer answer = answer(asking);
+        // The grace is over once answers ask for the end of their connection.
+        while (!answer.head().contains("Connection: close")) {
+            assertEquals(503, answer.status());
+            answer = answer(ask(asking, operation("look", "", "")));
+        }
+        assertEquals(503, answer.status());
+        asking.close();
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":60000.5}");
+        assertEquals(503, answer(ask(resting, operation("buy", TOKEN, "a"))).status());
+        resting.close();
+        // Nothing was sent to the agent, not even a question.
+        assertEquals(null, fromAgent.readLine());
+        ends(143);
+    }
+
+    /** Against a drain that begins anew, and against a SIGHUP that is left aside while there is work on the old link. */
+    @Example
+    void aSecondTerminationChangesNothingAndAHangUpAfterItMovesTheLink() throws IOException, InterruptedException {
+        startUp();
+        greet();
+        Socket edge = ask(operation("buy", TOKEN, "a"));
+        Map<?, ?> launch = hear("launch");
+        signal("TERM");
+        Socket check = untilLeaving();
+        signal("TERM");
+        movedAgent();
+        Files.writeString(file, configuration());
+        signal("HUP");
+        Socket before = agent;
+        link(0);
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":70000}");
+        outcome(1, launch, "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+        before.close();
+        edge.close();
+        check.close();
+        ends(143);
+    }
+
+    /** Against five lines for one bad file, and against a reading too many that is still to come when the next signal has come. */
+    @Example
+    void aFileThatStaysBadIsSaidOnceAndTheOldOneStays() throws IOException, InterruptedException {
+        startUp();
+        greet();
+        pipe();
+        signal("HUP");
+        String bad = configuration().replace("\"n-cores\":4", "\"n-cores\":0");
+        for (int i = 0; i < 5; i++) {
+            reads(bad);
+        }
+        // The readings of one signal are over; this one is not usable at first, and is read again.
+        signal("HUP");
+        reads("{");
+        reads(configuration());
+        List<String> lines = new ArrayList<>();
+        String line = program.inputReader().readLine();
+        while (!line.contains("configuration read again")) {
+            lines.add(line);
+            line = program.inputReader().readLine();
+        }
+        lines.removeIf(each -> !each.contains("not taken over"));
+        assertEquals(2, lines.size(), "" + lines);
+        assertTrue(lines.get(0).contains(file + ": settings: family-info.n-cores is \"0\"; allowed: a number above 0"), lines.get(0));
+        assertTrue(lines.get(1).contains("no JSON object"), lines.get(1));
+        // The old one stayed: the link is the one that it named.
+        Socket edge = ask(operation("look", "", ""));
+        outcome(1, hear("launch"), "OK", new byte[] {7});
+        assertEquals(200, answer(edge).status());
+    }
+
+    /** Against two rows of readings side by side: the later signal's takes the place of what was to come of the earlier. */
+    @Example
+    void aSecondHangUpTakesThePlaceOfReadingsToCome() throws IOException, InterruptedException {
+        startUp();
+        greet();
+        pipe();
+        signal("HUP");
+        // While this is being read the second signal comes, so its reading is the next.
+        try (OutputStream out = opened()) {
+            handled("HUP");
+            pipe();
+            out.write('{');
+        }
+        reads(configuration());
+        said("configuration read again");
+        // A reading more would hold the program at the pipe: it answers this after the second that a check may take.
+        Socket check = ask("GET /status/live?real=1 HTTP/1.1\r\n\r\n");
+        hear("exercise");
+        assertEquals(503, answer(check).status());
+    }
+
+    /** Against a notice to leave that waits for a file, and against a reading that outlives the drain. */
+    @Example
+    void aTerminationWhileAConfigurationIsHalfWrittenDrainsAsEver() throws IOException, InterruptedException {
+        startUp();
+        greet();
+        Socket edge = ask(operation("buy", TOKEN, "a"));
+        Map<?, ?> launch = hear("launch");
+        Files.writeString(file, configuration().substring(0, 100));
+        signal("HUP");
+        said("not taken over");
+        signal("TERM");
+        untilLeaving().close();
+        outcome(1, launch, "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+        edge.close();
+        ends(143);
+    }
+
+    /** Against a stop before the grace is over, or so soon that no time is left for last writes: all is answered still. */
+    @Example
+    void aStopShorterThanTheGraceAnswersAllAndEnds() throws IOException, InterruptedException {
+        start(configuration().replace("\"stop_ms\":8000", "\"stop_ms\":100").replace("\"drain-grace\":100", "\"drain-grace\":60000"));
+        String line = said("listening on ");
+        port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+        link(0);
+        greet();
+        Socket edge = ask(operation("buy", TOKEN, "a"));
+        hear("launch");
+        signal("TERM");
+        assertEquals(500, answer(edge).status());
+        ends(143);
+    }
+
+    /** A client that rests until the backend ends hears its end, and no reset; nobody is let in after the grace. */
+    @Example
+    void whoRestsUntilTheEndHearsItWithinTheStop() throws IOException, InterruptedException {
+        start(configuration().replace("\"stop_ms\":8000", "\"stop_ms\":1200"));
+        String line = said("listening on ");
+        port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+        link(0);
+        greet();
+        Socket resting = ask("GET /status/live HTTP/1.1\r\n\r\n");
+        assertEquals(200, answer(resting).status());
+        signal("TERM");
+        assertEquals(-1, resting.getInputStream().read());
+        ends(143);
+        assertFalse(connects());
+    }
+
+    private boolean connects() throws IOException {
+        try {
+            new Socket(HERE, port).close();
+            return true;
+        } catch (ConnectException e) {
+            return false;
+        }
+    }
+}
