Edge nodes: connections end by a half-close that reads on, and the door is emptied first

Seen: the idle time, the limits for silent and half messages and the lack of room ended a connection with an immediate close (EdgeNodes.closeIdlest, endAll -> Connection.end). Bytes that crossed it reset the connection: the peer's second write fails with a broken pipe. Listener.close reset whoever the system had accepted and the program not yet, together with the whole requests written there. A listener that was full when it looked for room and found nobody idle asked again only when a connection ended.

Excluded: a look before the close (a read is always pending, NIO.2 tells nothing about unread bytes).

Now: EdgeConnection.shut half-closes, reads on and passes over what comes (nothing of it goes to the agent), at most 1 s, or 50 ms where room is needed. Listener.closeBehindTheLast accepts who waits, for at most 3 s, and EdgeNodes.none says no until then. EdgeNodes.awake counts a stall as half a second. EdgeNodes.shutResting is for the end of the process.

--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -29,6 +29,7 @@
     private Work work;
     private int seen;
     private boolean last, asked;
+    private Ended how = Ended.DONE;
 
     EdgeConnection(EdgeNodes owner) {
         this.owner = owner;
@@ -43,6 +44,24 @@
         return connection;
     }
 
+    /** How it ends where this side ends it after its last word. */
+    Ended how() {
+        return how;
+    }
+
+    /**
+     * Ends it in good order while no message is in hand. What crosses this was sent to a connection that may be closed:
+     * it is read, as a close over unread bytes would be a reset, and it goes no further, as it could not be answered.
+     */
+    void shut(Ended as) {
+        if (state == State.NEW || state == State.IDLE || state == State.RECEIVING) {
+            how = as;
+            become(State.LINGERING);
+            connection.writeNoMore();
+            connection.readAgain();
+        }
+    }
+
     private void become(State next) {
         if (connection.ended() == null) {
             owner.moved(this, state, next);
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
@@ -23,11 +24,23 @@
     static final String OPERATIONS = "/svc/";
     static final String HEALTH = "/status/live";
 
+    /** What may be shut with nobody waiting for an answer. */
+    private static final List<EdgeConnection.State> RESTING = List.of(EdgeConnection.State.NEW, EdgeConnection.State.IDLE,
+            EdgeConnection.State.RECEIVING);
     private static final Duration SWEEP = Duration.ofMillis(100);
     private static final Duration SLOWEST = Duration.ofSeconds(5);
     /** Whoever connects is to hear something within 3 s; who has said nothing whole so long after it is no edge node. */
     private static final Duration FIRST = Duration.ofMillis(2500);
     private static final Duration LINGER = Duration.ofSeconds(1);
+    /** Out of room: what was shut has at least so long for what crosses that, and these states are shut after so long. */
+    private static final Duration CROSSING = Duration.ofMillis(50);
+    private static final Duration SILENT = Duration.ofMillis(250);
+    private static final Duration SLOW = Duration.ofSeconds(1);
+    /** So many connections, one part of them, are kept free for whoever comes next. */
+    private static final int FREE_PART = 8;
+    private static final int LEAST_FREE = 4;
+    /** A stall, of the process or the machine, counts as no more than this: nothing was read meanwhile. */
+    private static final Duration LONGEST_STALL = Duration.ofMillis(500);
     /** Edge nodes close what is idle for the stated time; only what they forget is closed by that alone. */
     private static final int FORGOTTEN = 2;
 
@@ -38,7 +51,10 @@
             new EnumMap<>(EdgeConnection.State.class);
     private Listener listener;
     private Duration closeIdle;
-    private boolean closing;
+    private Duration awake = Duration.ZERO;
+    private Duration sweptAt;
+    private int mostKept = Integer.MAX_VALUE;
+    private boolean closing, awaitsRoom;
     private double said = Double.NaN;
     private String level = "";
 
@@ -50,12 +66,14 @@
             since.put(state, new LinkedHashMap<>());
         }
         closeIdle = Duration.ofMillis(FORGOTTEN * (long) Stated.number(given, "server.idle", 30_000));
+        sweptAt = loop.clock().uptime();
         loop.every(SWEEP, this::sweep);
     }
 
     public void listen(InetSocketAddress address, int mostConnections) throws IOException {
+        mostKept = mostConnections - Math.min(Math.max(LEAST_FREE, mostConnections / FREE_PART), mostConnections / 2);
         listener = new Listener(loop, address, mostConnections, channel -> take(user -> Connection.accepted(loop, channel,
-                user, EdgeConnection.BUFFER, EdgeConnection.MOST_QUEUED)), this::closeIdlest);
+                user, EdgeConnection.BUFFER, EdgeConnection.MOST_QUEUED)), this::makeRoom);
         listener.accept();
     }
 
@@ -65,6 +83,7 @@
         Connection made = maker.apply(edge);
         edge.on(made);
         made.readOn();
+        keepRoom();
     }
 
     public InetSocketAddress address() throws IOException {
@@ -99,20 +118,27 @@
         return closing;
     }
 
-    /** Nothing is accepted any more, and connections end with their next answer. */
+    /** Nothing is accepted any more but who waits already, and connections end with their next answer. */
     public void close() {
         closing = true;
-        listener.close();
+        listener.closeBehindTheLast();
+    }
+
+    /** Connections with no message in hand end; what still comes on them is read and not run. */
+    public void shutResting() {
+        for (EdgeConnection.State state : RESTING) {
+            List.copyOf(since.get(state).keySet()).forEach(edge -> edge.shut(Ended.IDLE));
+        }
     }
 
     /** Whether every answer that was given has been written. */
     public boolean allWritten() {
-        return since.get(EdgeConnection.State.ANSWERING).isEmpty() && since.get(EdgeConnection.State.IN_HAND).isEmpty();
+        return count(EdgeConnection.State.ANSWERING) == 0 && count(EdgeConnection.State.IN_HAND) == 0;
     }
 
-    /** Whether no connection is open. */
+    /** Whether no connection is open and, once it closes, none can come. */
     public boolean none() {
-        return since.values().stream().allMatch(LinkedHashMap::isEmpty);
+        return (!closing || listener.closed()) && count() == 0;
     }
 
     public void closeIdle(Duration after) {
@@ -121,7 +147,7 @@
 
     void moved(EdgeConnection edge, EdgeConnection.State from, EdgeConnection.State to) {
         since.get(from).remove(edge);
-        since.get(to).put(edge, loop.clock().uptime());
+        since.get(to).put(edge, awake());
     }
 
     void gone(EdgeConnection edge, EdgeConnection.State from) {
@@ -131,40 +157,100 @@
         }
     }
 
-    private void closeIdlest() {
-        Map.Entry<EdgeConnection, Duration> idle = oldest(EdgeConnection.State.IDLE);
-        Map.Entry<EdgeConnection, Duration> unused = oldest(EdgeConnection.State.NEW);
-        if (idle == null || unused != null && unused.getValue().compareTo(idle.getValue()) < 0) {
-            idle = unused;
+    /** How many connections are open in the state. */
+    int count(EdgeConnection.State state) {
+        return since.get(state).size();
+    }
+
+    /** How many are open in all. */
+    int count() {
+        return since.values().stream().mapToInt(Map::size).sum();
+    }
+
+    /** The time that this side has been at work. */
+    private Duration awake() {
+        Duration span = loop.clock().uptime().minus(sweptAt);
+        return awake.plus(span.compareTo(LONGEST_STALL) > 0 ? LONGEST_STALL : span);
+    }
+
+    /** Out of room: what was shut long enough ago goes; else something is shut, and its turn comes. */
+    private void makeRoom() {
+        keepRoom();
+        EdgeConnection shut = oldest(EdgeConnection.State.LINGERING, Duration.ZERO);
+        if (shut == null && shutOne()) {
+            shut = oldest(EdgeConnection.State.LINGERING, Duration.ZERO);
         }
-        if (idle != null) {
-            idle.getKey().connection().end(Ended.IDLE);
+        if (oldest(EdgeConnection.State.LINGERING, CROSSING) != null) {
+            shut.connection().end(shut.how());
+        } else if (shut != null && !awaitsRoom) {
+            awaitsRoom = true;
+            loop.in(CROSSING, () -> {
+                awaitsRoom = false;
+                listener.accept();
+            });
+        }
+    }
+
+    /** Some room stays free, so that who comes next need not wait until what is shut has gone. */
+    private void keepRoom() {
+        boolean more = true;
+        while (more && count() - count(EdgeConnection.State.LINGERING) > mostKept) {
+            more = shutOne();
         }
     }
 
-    private Map.Entry<EdgeConnection, Duration> oldest(EdgeConnection.State state) {
+    /** Those first that have brought nothing whole for longer than a message takes; then the idlest. */
+    private boolean shutOne() {
+        EdgeConnection one = oldest(EdgeConnection.State.NEW, SILENT);
+        one = one != null ? one : oldest(EdgeConnection.State.RECEIVING, SLOW);
+        one = one != null ? one : oldest(EdgeConnection.State.IDLE, Duration.ZERO);
+        if (one != null) {
+            one.shut(Ended.IDLE);
+            return true;
+        }
+        one = oldest(EdgeConnection.State.ANSWERING, SLOW);
+        if (one != null) {
+            one.connection().end(Ended.SLOW);
+        }
+        return one != null;
+    }
+
+    /** The one that is in the state for longest, if that is so long, or null. */
+    private EdgeConnection oldest(EdgeConnection.State state, Duration least) {
         Iterator<Map.Entry<EdgeConnection, Duration>> all = since.get(state).entrySet().iterator();
-        return all.hasNext() ? all.next() : null;
+        Map.Entry<EdgeConnection, Duration> first = all.hasNext() ? all.next() : null;
+        return first == null || first.getValue().plus(least).compareTo(awake()) > 0 ? null : first.getKey();
     }
 
     private void sweep() {
-        endAll(EdgeConnection.State.NEW, FIRST, Ended.SLOW);
-        endAll(EdgeConnection.State.IDLE, closeIdle, Ended.IDLE);
-        endAll(EdgeConnection.State.RECEIVING, SLOWEST, Ended.SLOW);
-        endAll(EdgeConnection.State.ANSWERING, SLOWEST, Ended.SLOW);
-        endAll(EdgeConnection.State.LINGERING, LINGER, Ended.DONE);
-    }
-
-    private void endAll(EdgeConnection.State state, Duration older, Ended how) {
-        Duration now = loop.clock().uptime();
-        LinkedHashMap<EdgeConnection, Duration> some = since.get(state);
-        while (!some.isEmpty()) {
-            Map.Entry<EdgeConnection, Duration> oldest = some.entrySet().iterator().next();
-            if (oldest.getValue().plus(older).compareTo(now) > 0) {
-                return;
-            }
-            some.remove(oldest.getKey());
-            oldest.getKey().connection().end(how);
+        awake = awake();
+        sweptAt = loop.clock().uptime();
+        shutAll(EdgeConnection.State.NEW, FIRST, Ended.SLOW);
+        shutAll(EdgeConnection.State.IDLE, closeIdle, Ended.IDLE);
+        shutAll(EdgeConnection.State.RECEIVING, SLOWEST, Ended.SLOW);
+        endAll(EdgeConnection.State.ANSWERING, SLOWEST);
+        endAll(EdgeConnection.State.LINGERING, LINGER);
+        if (listener != null) {
+            keepRoom();
+            // What was busy when room was asked for may rest by now.
+            listener.accept();
+        }
+    }
+
+    private void shutAll(EdgeConnection.State state, Duration older, Ended how) {
+        if (oldest(state, older) != null) {
+            // Behind what has been read already and waits for its turn.
+            loop.execute(() -> {
+                for (EdgeConnection edge = oldest(state, older); edge != null; edge = oldest(state, older)) {
+                    edge.shut(how);
+                }
+            });
+        }
+    }
+
+    private void endAll(EdgeConnection.State state, Duration older) {
+        for (EdgeConnection edge = oldest(state, older); edge != null; edge = oldest(state, older)) {
+            edge.connection().end(state == EdgeConnection.State.LINGERING ? edge.how() : Ended.SLOW);
         }
     }
 }
--- a/src/main/java/merlinlever/net/Listener.java
+++ b/src/main/java/merlinlever/net/Listener.java
@@ -13,6 +13,9 @@
 public final class Listener {
 
     private static final Duration PAUSE = Duration.ofMillis(50);
+    /** Whoever is at the door as it is closed has been let in after so long, or longer where there was no room. */
+    private static final Duration LAST_LOOK = Duration.ofMillis(50);
+    private static final Duration LONGEST_CLOSING = Duration.ofSeconds(3);
 
     private final Loop loop;
     private final AsynchronousServerSocketChannel channel;
@@ -20,7 +23,8 @@
     private final Runnable makeRoom;
     private final int most;
     private int open;
-    private boolean accepting, closed;
+    private long looks;
+    private boolean accepting, pausing, closing, closed;
 
     /**
      * @param most connections open at the same time
@@ -42,18 +46,20 @@
         return (InetSocketAddress) channel.getLocalAddress();
     }
 
+    /** Accepts if there is room; where there is none it asks for some, and is to be called again. */
     public void accept() {
-        if (accepting || closed) {
+        if (accepting || pausing || closed) {
             return;
         }
         if (open >= most) {
             makeRoom.run();
         }
         // Making room may have begun to accept already.
-        if (accepting || closed || open >= most) {
+        if (accepting || pausing || closed || open >= most) {
             return;
         }
         accepting = true;
+        looks++;
         channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
             @Override public void completed(AsynchronousSocketChannel accepted, Void none) {
                 accepting = false;
@@ -65,11 +71,18 @@
             @Override public void failed(Throwable cause, Void none) {
                 accepting = false;
                 if (!closed) {
+                    pausing = true;
+                    loop.in(PAUSE, () -> {
+                        pausing = false;
+                        accept();
+                    });
                     makeRoom.run();
-                    loop.in(PAUSE, Listener.this::accept);
                 }
             }
         });
+        if (closing) {
+            closeUnlessMoreCame();
+        }
     }
 
     /** A connection that was accepted is over. */
@@ -78,6 +91,38 @@
         accept();
     }
 
+    /**
+     * Lets in whoever waits and closes then: what the system has accepted and the program has not would be reset, with
+     * all that was written to it.
+     */
+    public void closeBehindTheLast() {
+        if (closing) {
+            return;
+        }
+        closing = true;
+        accept();
+        loop.in(LAST_LOOK, () -> {
+            if (accepting) {
+                closeUnlessMoreCame();
+            }
+        });
+        loop.in(LONGEST_CLOSING, this::close);
+    }
+
+    /** An accept that is not over when what was ready has had its turn found nobody waiting. */
+    private void closeUnlessMoreCame() {
+        long look = looks;
+        loop.execute(() -> {
+            if (accepting && look == looks) {
+                close();
+            }
+        });
+    }
+
+    public boolean closed() {
+        return closed;
+    }
+
     public void close() {
         closed = true;
         try {
--- /dev/null
+++ b/src/test/java/merlinlever/http/EdgeFixture.java
@@ -0,0 +1,244 @@
+package merlinlever.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import merlinlever.Ending;
+import merlinlever.core.Backend;
+import merlinlever.core.Calls;
+import merlinlever.core.Outside;
+import merlinlever.core.Work;
+import merlinlever.net.Clock;
+import merlinlever.net.Loop;
+import net.jqwik.api.lifecycle.AfterTry;
+
+/**
+ * The side of the edge nodes on loopback sockets, with a backend whose other parties are played here. The loop runs on a
+ * thread of its own; its clock stands still but where a test moves it, and it can be held while peers write.
+ */
+abstract class EdgeFixture implements Outside, Calls {
+
+    static final int PATIENCE_MS = 20_000;
+    static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    final AtomicLong nanos = new AtomicLong(1_000_000_000L);
+    final List<Throwable> failures = new CopyOnWriteArrayList<>();
+    /** What the agent was asked, as words. */
+    final List<String> asked = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new ArrayList<>();
+    final Loop loop = new Loop(new Clock(() -> nanos.get() + 1_700_000_000_000_000_000L, nanos::get), failures::add);
+    final Backend backend = new Backend(Map.ofEntries(Map.entry("server.cores", "4"), Map.entry("server.memory-kb", "90000"),
+            Map.entry("server.run-factor", "4"), Map.entry("server.halt", "drop"), Map.entry("rules.crowd-factor", "8"),
+            Map.entry("rules.drain-grace", "100"), Map.entry("tariffs.0.name", "look"), Map.entry("tariffs.0.kind", "retriable"),
+            Map.entry("tariffs.0.soft-limit", "20000"), Map.entry("tariffs.0.client-timeout", "40000")), 5, this);
+    final EdgeNodes edge = new EdgeNodes(loop, backend, Map.of("server.idle", "4000"));
+    private final Thread thread = new Thread(loop::run, "loop");
+    private volatile long batches;
+    private long ids = 0x9b1f03aa5c7e2d41L;
+
+    EdgeFixture() throws IOException {
+        loop.after(() -> {
+            backend.settle(loop.clock().now());
+            batches++;
+        });
+    }
+
+    /** Begins to listen, with room for so many, and with the agent up. */
+    void listen(int most) throws Exception {
+        edge.listen(new InetSocketAddress(HERE, 0), most);
+        backend.started(loop.clock().now(), false);
+        thread.setDaemon(true);
+        thread.start();
+        await(backend::healthy, "the backend is not healthy");
+    }
+
+    @AfterTry
+    void end() throws Exception {
+        loop.stop();
+        thread.join();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        loop.group().shutdownNow();
+        assertEquals(List.of(), failures);
+    }
+
+    /** Runs it on the loop, between other handlers. */
+    void on(Runnable task) throws Exception {
+        FutureTask<Void> future = new FutureTask<>(task, null);
+        loop.execute(future);
+        future.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What is ready, what that makes ready, and the timers that are due have had their turn. */
+    void settle() throws Exception {
+        // Tasks that come while a batch runs may join it; the timers and writes of each come behind its tasks.
+        for (int i = 0; i < 4; i++) {
+            long before = batches;
+            on(() -> { });
+            long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+            while (batches == before) {
+                assertTrue(System.nanoTime() < until, "the loop stands still");
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    /** Moves the clock in steps of a sweep. */
+    void pass(long ms) throws Exception {
+        for (long left = ms; left > 0; left -= 50) {
+            long step = Math.min(left, 50);
+            on(() -> nanos.addAndGet(step * 1_000_000L));
+            settle();
+        }
+    }
+
+    /** Moves the clock at once, as over a stall. */
+    void stall(long ms) throws Exception {
+        on(() -> nanos.addAndGet(ms * 1_000_000L));
+        settle();
+    }
+
+    Socket connect() throws Exception {
+        Socket socket = new Socket();
+        sockets.add(socket);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.connect(new InetSocketAddress(HERE, edge.address().getPort()), PATIENCE_MS);
+        return socket;
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    Socket ask(String text) throws Exception {
+        Socket socket = connect();
+        write(socket, text);
+        return socket;
+    }
+
+    String operation(String more, String body) {
+        return "POST /svc/look HTTP/1.1\r\nHost: api\r\nReq-Id: " + String.format("%016x", ids++) + "\r\nReq-Time: "
+                + (nanos.get() / 1_000_000 + 1_700_000_000_000L) + "\r\nReq-From: 4\r\nReq-Wait-Ms: 30000\r\nReq-Kb: 24.5\r\n"
+                + "Req-Rank: 0.6250\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static final String CHECK = "GET /status/live HTTP/1.1\r\n\r\n";
+
+    /** The next answer: its head and its body. */
+    static String answer(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            assertTrue(next >= 0, "the answer ends within its head: " + head);
+            head.write(next);
+        }
+        String text = head.toString(StandardCharsets.US_ASCII);
+        int at = text.indexOf("Content-Length: ") + 16;
+        int length = at < 16 ? 0 : Integer.parseInt(text.substring(at, text.indexOf('\r', at)));
+        return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    static void assertStatus(int status, Socket socket) throws IOException {
+        String answer = answer(socket);
+        assertEquals("" + status, answer.substring(9, 12), answer);
+    }
+
+    static void assertEnds(Socket socket) throws IOException {
+        assertEquals(-1, socket.getInputStream().read());
+    }
+
+    /** Waits until the agent has been asked so much. */
+    void awaitAsked(int count) throws Exception {
+        await(() -> asked.size() >= count, "asked only " + asked);
+    }
+
+    /** Waits until so many connections are in the state. */
+    void await(EdgeConnection.State state, int count) throws Exception {
+        await(() -> edge.count(state) == count, "not " + count + " are " + state);
+    }
+
+    /** Waits for what the loop sees. */
+    void await(BooleanSupplier wanted, String otherwise) throws Exception {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        boolean[] seen = new boolean[1];
+        while (!seen[0]) {
+            assertTrue(System.nanoTime() < until, otherwise);
+            on(() -> seen[0] = wanted.getAsBoolean());
+        }
+    }
+
+    /** The operation that was sent on as the given one ends with the result. */
+    void ends(String launch, byte[] result) throws Exception {
+        on(() -> backend.ended(loop.clock().now(), Long.parseUnsignedLong(launch.substring(7), 16), Ending.OK, result));
+        settle();
+    }
+
+    @Override public void launch(Work work) {
+        asked.add("launch " + work.name());
+    }
+
+    @Override public void freeze(Work work) {
+        asked.add("freeze " + work.name());
+    }
+
+    @Override public void deliver(Work work, byte[] reply) {
+        asked.add("deliver " + work.name());
+    }
+
+    @Override public void forgo(Work work) {
+        asked.add("forgo " + work.name());
+    }
+
+    @Override public boolean sample() {
+        return true;
+    }
+
+    @Override public void exercise() {
+        asked.add("exercise");
+    }
+
+    @Override public Calls calls() {
+        return this;
+    }
+
+    @Override public void call(Work work, byte[] body, Duration within) {
+        asked.add("call " + work.name());
+    }
+
+    @Override public void giveUp(Work work) {
+    }
+
+    @Override public void closeIdle(Duration after) {
+    }
+
+    private Loop.Timer alarm;
+
+    @Override public void alarm(Duration at) {
+        if (alarm != null) {
+            alarm.callOff();
+        }
+        alarm = loop.in(at.minus(loop.clock().now()), () -> backend.alarmed(loop.clock().now()));
+    }
+
+    @Override public void log(String line) {
+    }
+}
