Doubt: what is sent again is in doubt again, and what surely arrived is not sent again

Seen (by reading, then by the tests): a reply sent again after a break kept the time of its first sending (Calling.ended set repliedAt, Doubt.settle did not). If the next link broke within 50 ms after that, the reply counted as arrived; its run waited for ever. A reply queued in the very instant of the new greeting (same reading of the clock) was not in doubt either, by repliedAt < backAt. And every run without a call was launched again at each break, however long ago it had been launched: one that ended while the launch was under way could be begun a second time.

Excluded: launches and stops of that kind were not lost, as all were sent again.

At fault: Doubt.settle (no new time for what it sends; comparison with backAt; launches without regard to their time).

Now Doubt sends launches and replies itself and notes the time of each sending; as the new link is made it marks what left from 55 ms before the old one was last sure to stand, and sends again only what is marked and still wanted. Backend.caughtUp takes the time for that; BackendTest passes it, and nothing else of it changes.

--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -244,7 +244,7 @@
     private void sampled(Notice notice) {
         if (notice.token() != null && notice.token().equals(caughtUp)) {
             caughtUp = null;
-            backend.caughtUp();
+            backend.caughtUp(loop.clock().now());
         } else {
             sampling = false;
             unanswered = 0;
--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -220,7 +220,7 @@
         Duration took = calling.ended(work, now, how, reply);
         if (how == Ending.OK) {
             ontoCores++;
-            outside.deliver(work, reply);
+            doubt.deliver(work, now);
         }
         work.handle.callEnded(now, how, took);
     }
@@ -258,19 +258,21 @@
         }
     }
 
-    /** The link to the agent is lost: runs go on, what was sent since it was last heard may not have got there. */
-    public void linkLost(Duration lastHeard) {
-        doubt.lost(lastHeard);
+    /** The link to the agent is lost, which stood at that time still: runs go on, what was sent since may not have got there. */
+    public void linkLost(Duration stood) {
+        doubt.lost(stood);
     }
 
     /** The link is made again: what is sent from here on gets there. */
     public void linkBack(Duration now) {
-        doubt.back(now);
+        touch(now);
+        doubt.back(byId.values());
     }
 
     /** All notices of the time without a link have been read: what may not have got there is sent again. */
-    public void caughtUp() {
-        doubt.settle(byId.values());
+    public void caughtUp(Duration now) {
+        touch(now);
+        doubt.settle(byId.values(), now);
     }
 
     /** Notices were missed for good: how the runs of that time ended is not known, and they are not begun again. */
@@ -340,7 +342,7 @@
     @Override public void start(Work work) {
         work.launched = true;
         ontoCores++;
-        outside.launch(work);
+        doubt.launch(work, now);
     }
 
     @Override public void share(Work work) {
--- a/src/main/java/merlinlever/core/Calling.java
+++ b/src/main/java/merlinlever/core/Calling.java
@@ -33,7 +33,6 @@
         if (how == Ending.OK) {
             work.callBody = null;
             work.reply = reply;
-            work.repliedAt = now;
         }
         return now.minus(work.calledAt);
     }
--- a/src/main/java/merlinlever/core/Doubt.java
+++ b/src/main/java/merlinlever/core/Doubt.java
@@ -3,45 +3,65 @@
 import java.time.Duration;
 import java.util.Collection;
 
-/** What may have been lost with a link to the agent, and is sent again once all notices of the time without are read. */
+/**
+ * Launches and replies on their way to the agent. What may have been lost with a link is in doubt, and is sent again once
+ * all notices of the time without are read; what is sure to have arrived is not, as its run may have ended by now and
+ * would be begun once more.
+ */
 final class Doubt {
 
-    /** What left within 50 ms before a link broke may be lost, and a link was last heard before it broke. */
+    /** What left within 50 ms before a link broke may be lost. */
     private static final Duration IN_TRANSIT = Duration.ofMillis(55);
 
     private final Outside outside;
-    private Duration from, backAt;
+    /** What left from then on is in doubt; null while nothing is. */
+    private Duration from;
 
     Doubt(Outside outside) {
         this.outside = outside;
     }
 
-    void lost(Duration lastHeard) {
-        if (from == null) {
-            from = lastHeard.minus(IN_TRANSIT);
-        }
+    void launch(Work work, Duration now) {
+        work.launchedAt = now;
+        work.launchInDoubt = false;
+        outside.launch(work);
     }
 
-    void back(Duration now) {
-        backAt = now;
+    void deliver(Work work, Duration now) {
+        work.repliedAt = now;
+        work.replyInDoubt = false;
+        outside.deliver(work, work.reply);
     }
 
-    void settle(Collection<Work> all) {
-        if (from == null) {
-            return;
+    /** A link is lost that stood at that time still. */
+    void lost(Duration stood) {
+        Duration doubtful = stood.minus(IN_TRANSIT);
+        if (from == null || doubtful.compareTo(from) < 0) {
+            from = doubtful;
         }
-        Duration doubtful = from;
+    }
+
+    /** What is sent after this goes over the new link; it is in doubt only if that one is lost too. */
+    void back(Collection<Work> all) {
+        for (Work work : all) {
+            work.launchInDoubt = from != null && work.launchedAt.compareTo(from) >= 0;
+            work.replyInDoubt = from != null && work.repliedAt.compareTo(from) >= 0;
+        }
+    }
+
+    void settle(Collection<Work> all, Duration now) {
+        // Whatever is sent from here on is sent anew: a link that is lost once more puts it in doubt once more.
         from = null;
         for (Work work : all) {
             if (!work.launched || work.end != null) {
                 continue;
             }
-            if (work.callBody == null && work.reply == null) {
-                outside.launch(work);
+            if (work.launchInDoubt && work.callBody == null && work.reply == null) {
+                launch(work, now);
             }
             // Sent twice, a reply might be taken for that to the next call of the run: only where it is in doubt.
-            if (work.reply != null && work.repliedAt.compareTo(doubtful) >= 0 && work.repliedAt.compareTo(backAt) < 0) {
-                outside.deliver(work, work.reply);
+            if (work.replyInDoubt && work.reply != null) {
+                deliver(work, now);
             }
             if (work.halted) {
                 outside.freeze(work);
--- a/src/main/java/merlinlever/core/Work.java
+++ b/src/main/java/merlinlever/core/Work.java
@@ -22,9 +22,9 @@
     /** What it repeats, as it was known at its arrival. */
     Work repeats;
     byte[] body, callBody, reply, result;
-    boolean answered, launched, halted, calling;
+    boolean answered, launched, halted, calling, launchInDoubt, replyInDoubt;
     Ending end;
-    Duration calledAt = Duration.ZERO, repliedAt = Duration.ZERO;
+    Duration launchedAt = Duration.ZERO, calledAt = Duration.ZERO, repliedAt = Duration.ZERO;
     List<Work> sharers = List.of();
 
     Work(long id, String name, int tariff, String tariffName, Duration arrival, String mark, byte[] body,
--- a/src/test/java/merlinlever/core/BackendTest.java
+++ b/src/test/java/merlinlever/core/BackendTest.java
@@ -227,10 +227,10 @@
         around.ends(ended, Ending.OK, "done");
         around.asked.clear();
         around.replied(calling, Ending.OK);
-        around.backend.caughtUp();
+        around.backend.caughtUp(around.now);
         assertEquals(List.of("deliver " + calling, "deliver " + doubtful, "launch " + without), around.asked);
         around.asked.clear();
-        around.backend.caughtUp();
+        around.backend.caughtUp(around.now);
         assertEquals(List.of(), around.asked);
     }
 
@@ -244,7 +244,7 @@
         around.after(45);
         around.backend.linkLost(around.now);
         around.backend.linkBack(around.now.plusMillis(1));
-        around.backend.caughtUp();
+        around.backend.caughtUp(around.now);
         assertEquals(2, around.times("deliver " + a));
     }
 
@@ -287,7 +287,7 @@
         around.backend.checkDeeply(heard::add);
         around.backend.linkLost(around.now);
         around.backend.linkBack(around.now);
-        around.backend.caughtUp();
+        around.backend.caughtUp(around.now);
         assertEquals(List.of(true, true), heard);
         around.backend.exercised(false);
         assertEquals(List.of(true, true, false), heard);
@@ -351,7 +351,7 @@
                     around.backend.linkLost(around.now);
                 } else {
                     around.backend.linkBack(around.now);
-                    around.backend.caughtUp();
+                    around.backend.caughtUp(around.now);
                 }
                 linked = !linked;
             } else {
