A try of a window is judged by the run of that window, also when a later try was entered

Seen, by reading and then by a scripted batch on core.Backend: - core.Repeats.findOrEnter replaced the entry of a run whose window was over by the next try, and unkept/forget took that one out when it ended unrun. A try of the run's window that was still unread was then new here and run a second time; the same where it waited behind the later try and took its place. - A Req-Time ahead of our clock (up to 5 s are let in) took a repeat out of its window: run a second time. - A Req-Time long past was told to the module as time unread: one message put avg far over max_th, and the arrivals after it were refused until it had faded. - A window shorter than its run let the next try run beside it, and the result stayed until the release. - A second notice to leave began the grace anew, and what came after the first grace could be run. - A Req-Key on what is not retriable (fresh-for above 0) let one write be served with the result of another. - Bytes stayed after nothing could ask for them: the body of one whose caller went while it was held, the result of a run that another had followed or that outlasted its window, and the tries of a run whose callers had gone.

Excluded: the module's own table (Repeats.keep, strike) keeps the entry as told; http.Fields bounds the future by 5 s and the past not at all; Serve tells the notice to leave once, so the second one needed another caller.

Change: an entry remembers the run before it until it has begun itself; with a token an entry stands until its run is over; times are held between the longest time unread and now; the first notice to leave counts; only reads share by subject.

In one trial together, each with its own test red: the longestUnread comparison (aTimeLongPastTurnsNobodyElseAway), readsShare, sharers.removeIf, and the return for a second notice to leave.

--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import merlinlever.Ending;
 import merlinlever.Operation;
+import merlinlever.Spans;
 import merlinlever.policy.Control;
 
 /**
@@ -23,6 +24,8 @@
 
     /** The most fingerprints, with bodies and results, that the memory of this process is planned for. */
     private static final int MOST_KEPT = 4000;
+    /** What is said to have come before that, and before the longest time that a caller waits, cannot be so. */
+    private static final Duration LONGEST_UNREAD = Duration.ofSeconds(30);
 
     private final Map<String, String> given;
     private final long seed;
@@ -36,6 +39,7 @@
     private final Doubt doubt;
     private final Fleetwide fleetwide = new Fleetwide();
     private final boolean subjects;
+    private final Duration longestUnread;
     private final int runQueueAt;
     private Conductor<Work> conductor;
     private Duration now = Duration.ZERO;
@@ -53,6 +57,11 @@
         doubt = new Doubt(outside);
         tariffs = Conductor.indices(given, "tariffs");
         runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
+        Duration longest = LONGEST_UNREAD;
+        for (int i = 0; i < tariffs.size(); i++) {
+            longest = Spans.later(longest, Spans.millis(Stated.number(given, "tariffs." + i + ".client-timeout", 0)));
+        }
+        longestUnread = longest;
         subjects = Stated.number(given, "server.fresh-for", 0) > 0;
         // A limit of this process, in the terms that the module knows: it turns away what it cannot remember.
         double leastKb = Stated.number(given, "server.memory-kb", 100_000) / MOST_KEPT;
@@ -152,25 +161,31 @@
             caller.pushedBack(false, Duration.ZERO);
             return null;
         }
-        if (byId.containsKey(asked.id())) {
+        // Nothing came later than it was read: a time ahead of ours takes no repeat out of its window.
+        Duration arrival = Spans.earlier(asked.arrival(), now);
+        // Nor does a time long past tell the module how long others wait unread.
+        if (byId.containsKey(asked.id()) || now.minus(arrival).compareTo(longestUnread) > 0) {
             caller.brokenOff();
             return null;
         }
         touch(now);
         String mark = asked.token() != null ? "token " + asked.token()
-                : subjects && asked.subject() != null ? asked.tariff() + " " + asked.subject() : null;
-        Work work = new Work(asked.id(), asked.name(), asked.tariff(), asked.tariffName(), asked.arrival(), mark,
+                : asked.subject() != null && readsShare(asked.tariff()) ? asked.tariff() + " " + asked.subject() : null;
+        Work work = new Work(asked.id(), asked.name(), asked.tariff(), asked.tariffName(), arrival, mark,
                 asked.body(), caller);
         byId.put(work.id, work);
         endings.owes();
         Operation original = repeats.enter(work, asked.token() != null);
-        Duration unread = now.minus(asked.arrival());
-        work.handle = conductor.know(conductor.control().take(now, asked.tariff(),
-                unread.isNegative() ? Duration.ZERO : unread, asked.clientTimeout(), asked.kb(), asked.work(), asked.again(),
-                asked.subject() != null, original), work);
+        work.handle = conductor.know(conductor.control().take(now, asked.tariff(), now.minus(arrival),
+                asked.clientTimeout(), asked.kb(), asked.work(), asked.again(), asked.subject() != null, original), work);
         return work;
     }
 
+    /** Only what is retriable is a read; a subject that comes with anything else stands for no answer to share. */
+    private boolean readsShare(int tariff) {
+        return subjects && "retriable".equals(given.get("tariffs." + tariff + ".kind"));
+    }
+
     public void callerGone(Duration now, Work work) {
         if (work.answered) {
             return;
@@ -198,7 +213,7 @@
         work.result = how == Ending.OK ? result : null;
         calling.over(work);
         endings.ended(work, now, how, result);
-        repeats.ended(work);
+        repeats.ended(work, now);
     }
 
     /** A run waits for a call. */
@@ -251,6 +266,10 @@
 
     /** The notice to leave. */
     public void leave(Duration now, Duration stop) {
+        if (leaving) {
+            // The grace counts from the first notice.
+            return;
+        }
         leaving = true;
         if (conductor != null) {
             touch(now);
@@ -371,6 +390,7 @@
 
     @Override public void release(Work work) {
         byId.remove(work.id);
+        work.released = true;
         repeats.forget(work);
     }
 }
--- a/src/main/java/merlinlever/core/Repeats.java
+++ b/src/main/java/merlinlever/core/Repeats.java
@@ -16,19 +16,37 @@
     /** A repeat that was read later than this after its time no longer finds the result, and is broken off. */
     private static final Duration READ_LATE = Duration.ofSeconds(2);
 
-    private record Kept(Work work, Duration until) {
+    /**
+     * What stands under a mark, until when (null as long as the module has not said so), and, as long as it has not begun,
+     * what ran before it under the same mark.
+     */
+    private record Kept(Work work, Duration until, Kept before) {
+
+        boolean covers(Work repeat) {
+            return until == null || repeat.arrival.compareTo(until) <= 0;
+        }
+
+        Kept alone() {
+            return new Kept(work, until, null);
+        }
     }
 
     private final Map<String, Kept> byMark = new HashMap<>();
     private final PriorityQueue<Kept> ends = new PriorityQueue<>(Comparator.comparing(Kept::until));
 
     /** The operation that this one repeats, or null; then this one is entered. */
-    private Work findOrEnter(Work work) {
+    private Work findOrEnter(Work work, boolean token) {
         Kept kept = byMark.get(work.mark);
-        if (kept != null && (kept.until == null || work.arrival.compareTo(kept.until) <= 0)) {
+        Kept ran = kept == null || kept.work.launched ? kept : kept.before;
+        // A try of the time of one that ran is judged by that one, also where a later one has been entered since.
+        if (ran != null && ran.covers(work)) {
+            return ran.work;
+        }
+        // With an effect at stake, one that is not over stands for all that comes: its window may be shorter than its run.
+        if (kept != null && (kept.covers(work) || token && kept.work.end == null)) {
             return kept.work;
         }
-        byMark.put(work.mark, new Kept(work, null));
+        byMark.put(work.mark, new Kept(work, null, ran == null ? null : ran.alone()));
         return null;
     }
 
@@ -37,7 +55,7 @@
      * repeats, or null. A token that stands for another body is not known: the module breaks such an operation off.
      */
     Operation enter(Work work, boolean token) {
-        work.repeats = work.mark == null ? null : findOrEnter(work);
+        work.repeats = work.mark == null ? null : findOrEnter(work, token);
         return work.repeats == null ? null : !token || work.repeats.sameAs(work) ? work.repeats.handle : Conductor.UNKNOWN;
     }
 
@@ -51,19 +69,20 @@
         return original == null || !original.launched ? holder(work.mark) : original;
     }
 
-    /** What never ran and was never kept is not to be found by a repeat. */
+    /** What never ran is not to be found by a repeat. */
     void unkept(Work work) {
         if (!work.launched) {
             forget(work);
-            work.body = null;
         }
     }
 
-    /** What ended and no repeat can find holds on to no bytes. */
-    void ended(Work work) {
-        if (work.mark == null || holder(work.mark) != work) {
-            work.result = null;
-            work.body = null;
+    /** What ended and no repeat can find holds on to no bytes; what came while it ran can find it, however short its window. */
+    void ended(Work work, Duration now) {
+        Kept kept = work.mark == null ? null : byMark.get(work.mark);
+        if (kept == null || kept.work != work) {
+            dropBytes(work);
+        } else if (kept.until != null && kept.until.compareTo(now) < 0) {
+            keep(work, now);
         }
     }
 
@@ -76,25 +95,41 @@
         if (work.mark == null) {
             return;
         }
-        Kept kept = new Kept(work, until);
+        Kept before = byMark.get(work.mark);
+        Kept kept = new Kept(work, until, before == null ? null : before.before);
         byMark.put(work.mark, kept);
         ends.add(kept);
     }
 
+    /** Where it never ran, what ran before it stands again. */
     void forget(Work work) {
-        if (work.mark != null && holder(work.mark) == work) {
-            byMark.remove(work.mark);
+        Kept kept = work.mark == null ? null : byMark.get(work.mark);
+        if (kept != null && kept.work == work) {
+            if (work.launched || kept.before == null || kept.before.work.released) {
+                byMark.remove(work.mark);
+            } else {
+                byMark.put(work.mark, kept.before);
+            }
+        }
+        if (!work.launched) {
+            work.body = null;
         }
     }
 
     /** Lets go of the bytes of what no repeat can ask for any more. */
     void sweep(Duration now) {
         while (!ends.isEmpty() && ends.peek().until.plus(READ_LATE).compareTo(now) < 0) {
-            Kept kept = ends.poll();
-            if (byMark.get(kept.work.mark) == kept && kept.work.end != null) {
-                kept.work.result = null;
-                kept.work.body = null;
+            Kept over = ends.poll();
+            Kept kept = byMark.get(over.work.mark);
+            boolean renewed = kept != null && kept.work == over.work && !over.until.equals(kept.until);
+            if (!renewed && over.work.end != null) {
+                dropBytes(over.work);
             }
         }
     }
+
+    private static void dropBytes(Work work) {
+        work.result = null;
+        work.body = null;
+    }
 }
--- a/src/main/java/merlinlever/core/Work.java
+++ b/src/main/java/merlinlever/core/Work.java
@@ -22,7 +22,7 @@
     /** What it repeats, as it was known at its arrival. */
     Work repeats;
     byte[] body, callBody, reply, result;
-    boolean answered, launched, halted, calling;
+    boolean answered, launched, halted, calling, released;
     Ending end;
     Duration calledAt = Duration.ZERO, repliedAt = Duration.ZERO;
     List<Work> sharers = List.of();
@@ -69,6 +69,8 @@
         if (sharers.isEmpty()) {
             sharers = new ArrayList<>(2);
         }
+        // Whoever asks again and again while it runs leaves no more than one behind.
+        sharers.removeIf(sharer -> sharer.answered);
         sharers.add(other);
     }
 }
--- /dev/null
+++ b/src/test/java/merlinlever/core/EndingCrossingsTest.java
@@ -0,0 +1,363 @@
+package merlinlever.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import merlinlever.Ending;
+import net.jqwik.api.Example;
+
+/** Where the end of a run crosses its deadline, its caller, its call, its sharers and the notice to leave. */
+class EndingCrossingsTest {
+
+    private static final List<String> DONE = List.of("satisfied done");
+    private static final List<String> BROKEN_OFF = List.of("broken off");
+
+    /** The outcome and the caller that goes, in one batch and either order: one answer at the most, and no run is stopped that is over. */
+    @Example
+    void anOutcomeAndACallerThatGoesInOneBatch() {
+        for (String tariff : new String[] {"look", "buy"}) {
+            for (boolean goneFirst : new boolean[] {false, true}) {
+                Batches batches = new Batches();
+                String name = batches.read(tariff, tariff.equals("buy") ? "t" : null, "a");
+                batches.settle();
+                if (goneFirst) {
+                    batches.gone(name);
+                }
+                batches.ended(name, Ending.OK, "done");
+                if (!goneFirst) {
+                    batches.gone(name);
+                }
+                batches.settle();
+                assertEquals(goneFirst ? List.of() : DONE, batches.heard(name));
+                assertEquals(List.of("launch"), batches.asked(name));
+                assertEquals(0, batches.backend.inHand());
+            }
+        }
+    }
+
+    /** The outcome that is read in the batch of the deadline is the answer; one that is read after it is none. */
+    @Example
+    void anOutcomeInTheBatchOfTheDeadline() {
+        for (boolean after : new boolean[] {false, true}) {
+            Batches batches = new Batches();
+            String name = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.pass(990);
+            batches.around.now = batches.now().plusMillis(10);
+            if (after) {
+                batches.settle();
+                batches.backend.alarmed(batches.now());
+                batches.settle();
+            }
+            batches.ended(name, Ending.OK, "done");
+            batches.settle();
+            batches.pass(50);
+            assertEquals(after ? BROKEN_OFF : DONE, batches.heard(name));
+            assertEquals(after ? List.of("launch", "freeze") : List.of("launch"), batches.asked(name));
+            assertEquals(0, batches.backend.inHand());
+        }
+    }
+
+    /** The outcome in the last moment before the stop: it is the answer, or the breaking off is, and never both. */
+    @Example
+    void anOutcomeInTheLastMomentBeforeTheStop() {
+        for (boolean after : new boolean[] {false, true}) {
+            Batches batches = new Batches();
+            String name = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.backend.leave(batches.now(), batches.now().plusMillis(600));
+            batches.settle();
+            batches.pass(570);
+            assertEquals(List.of(), batches.heard(name));
+            batches.around.now = batches.now().plusMillis(15);
+            if (after) {
+                batches.backend.alarmed(batches.now());
+                batches.settle();
+            }
+            batches.ended(name, Ending.OK, "done");
+            batches.settle();
+            assertEquals(after ? BROKEN_OFF : DONE, batches.heard(name));
+            assertEquals(0, batches.backend.inHand());
+        }
+    }
+
+    /** A reply in the batch of the deadline goes to the run before it is stopped; after the deadline it goes nowhere. */
+    @Example
+    void aReplyInTheBatchOfTheDeadline() {
+        for (boolean after : new boolean[] {false, true}) {
+            Batches batches = new Batches();
+            String name = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.needsCall(name);
+            batches.settle();
+            batches.pass(990);
+            batches.around.now = batches.now().plusMillis(10);
+            if (!after) {
+                batches.replied(name, Ending.OK);
+            }
+            batches.backend.alarmed(batches.now());
+            batches.settle();
+            if (after) {
+                batches.replied(name, Ending.OK);
+                batches.settle();
+            }
+            assertEquals(BROKEN_OFF, batches.heard(name));
+            assertEquals(after ? List.of("launch", "call", "give up") : List.of("launch", "call", "deliver", "freeze"),
+                    batches.asked(name));
+            batches.ended(name, Ending.STOPPED, "");
+            batches.settle();
+            assertEquals(0, batches.backend.inHand());
+        }
+    }
+
+    /** A reply in the batch in which the caller goes: delivered or given up, by which was first, and the run is told once. */
+    @Example
+    void aReplyInTheBatchInWhichItsCallerGoes() {
+        for (boolean goneFirst : new boolean[] {false, true}) {
+            Batches batches = new Batches();
+            String name = batches.read("look", null, "a");
+            batches.settle();
+            batches.needsCall(name);
+            batches.settle();
+            if (goneFirst) {
+                batches.gone(name);
+            }
+            batches.replied(name, Ending.OK);
+            if (!goneFirst) {
+                batches.gone(name);
+            }
+            batches.settle();
+            assertEquals(goneFirst ? List.of("launch", "call", "give up") : List.of("launch", "call", "deliver", "freeze"),
+                    batches.asked(name));
+        }
+    }
+
+    /** A run that reaches its call as it is stopped, or after it was answered, makes none. */
+    @Example
+    void aRunThatReachesItsCallAsItIsStoppedMakesNone() {
+        Batches batches = new Batches();
+        String name = batches.read("look", null, "a");
+        batches.settle();
+        batches.gone(name);
+        batches.settle();
+        batches.needsCall(name);
+        batches.settle();
+        batches.pass(30);
+        assertEquals(List.of("launch", "freeze"), batches.asked(name));
+        batches.ended(name, Ending.STOPPED, "");
+        batches.settle();
+        assertEquals(List.of(), batches.heard(name));
+        batches.pass(42_000);
+        assertEquals(0, batches.backend.known());
+    }
+
+    /** A launch that was sent twice: the agent's word that nothing was begun, after the outcome, changes nothing. */
+    @Example
+    void wordThatNothingWasBegunAfterTheOutcomeOfALaunchSentTwice() {
+        Batches batches = new Batches();
+        String name = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.backend.linkLost(batches.now());
+        batches.backend.linkBack(batches.now());
+        batches.backend.caughtUp();
+        assertEquals(List.of("launch", "launch"), batches.asked(name));
+        batches.ended(name, Ending.OK, "done");
+        batches.ended(name, Ending.NEVER_BEGUN, "");
+        batches.settle();
+        assertEquals(DONE, batches.heard(name));
+        String again = batches.read("buy", "t", "a");
+        batches.settle();
+        assertEquals(DONE, batches.heard(again));
+    }
+
+    /** Word that nothing was begun, of one whose caller is there: broken off, not pushed back, and no try of it runs. */
+    @Example
+    void wordThatNothingWasBegunOfOneThatIsOwedAnAnswer() {
+        Batches batches = new Batches();
+        String name = batches.read("buy", "t", "a");
+        batches.settle();
+        String sharer = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.ended(name, Ending.NEVER_BEGUN, "");
+        batches.settle();
+        String again = batches.read("buy", "t", "a");
+        batches.settle();
+        for (String each : List.of(name, sharer, again)) {
+            assertEquals(BROKEN_OFF, batches.heard(each));
+        }
+        assertEquals(List.of(name), batches.launched(name, sharer, again));
+    }
+
+    /** A follower whose deadline is reached in the batch in which its original ends: the outcome is read first and counts. */
+    @Example
+    void aSharerWhoseDeadlineIsReachedAsTheRunEnds() {
+        for (boolean after : new boolean[] {false, true}) {
+            Batches batches = new Batches();
+            String first = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.pass(100);
+            batches.wait = Duration.ofMillis(300);
+            String sharer = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.pass(290);
+            batches.around.now = batches.now().plusMillis(10);
+            if (after) {
+                batches.backend.alarmed(batches.now());
+                batches.settle();
+            }
+            batches.ended(first, Ending.OK, "done");
+            batches.settle();
+            assertEquals(DONE, batches.heard(first));
+            assertEquals(after ? BROKEN_OFF : DONE, batches.heard(sharer));
+            assertEquals(0, batches.backend.inHand());
+        }
+    }
+
+    /** Shares a run that is stopped for good: broken off with it, and a try that comes then is not run either. */
+    @Example
+    void whoSharesARunThatWasStoppedIsBrokenOff() {
+        Batches batches = new Batches();
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(1000);
+        assertEquals(List.of("launch", "freeze"), batches.asked(first));
+        String late = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.ended(first, Ending.STOPPED, "");
+        String later = batches.read("buy", "t", "a");
+        batches.settle();
+        assertEquals(BROKEN_OFF, batches.heard(late));
+        assertEquals(BROKEN_OFF, batches.heard(later));
+        assertEquals(List.of(first), batches.launched(first, late, later));
+    }
+
+    /** Two notices to leave: the grace counts from the first, and what comes after it is not run. */
+    @Example
+    void aSecondNoticeToLeaveDoesNotLengthenTheGrace() {
+        Batches batches = new Batches();
+        Duration stop = batches.now().plusMillis(3000);
+        batches.backend.leave(batches.now(), stop);
+        batches.settle();
+        batches.pass(400);
+        batches.backend.leave(batches.now(), stop.plusMillis(400));
+        batches.settle();
+        batches.pass(101);
+        String late = batches.read("look", null, "a");
+        batches.settle();
+        assertEquals(List.of(), batches.launched(late));
+        assertEquals(List.of("pushed back"), batches.heard(late));
+    }
+
+    /** Came before the end of the grace and is started after it: it runs. Came at its end: refused, also as a try that waits. */
+    @Example
+    void theGraceCountsFromTheArrivalAndNotFromTheStart() {
+        Batches batches = new Batches().busy();
+        batches.wait = Duration.ofMillis(2000);
+        batches.backend.leave(batches.now(), batches.now().plusMillis(3000));
+        batches.settle();
+        batches.pass(490);
+        String before = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.around.now = batches.now().plusMillis(9);
+        String unread = batches.read("look", null, "b");
+        batches.around.now = batches.now().plusMillis(1);
+        String after = batches.read("buy", "u", "a");
+        String repeat = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(50);
+        batches.free();
+        assertEquals(List.of(before, unread), batches.launched(before, unread, after, repeat));
+        assertEquals(List.of("pushed back"), batches.heard(after));
+        assertEquals(List.of("pushed back"), batches.heard(repeat));
+    }
+
+    /** A try that comes after the grace of one that ran shares its result, and one of a run in hand its outcome: nothing is run. */
+    @Example
+    void aTryAfterTheGraceSharesWhatRan() {
+        Batches batches = new Batches();
+        batches.wait = Duration.ofMillis(2000);
+        String ran = batches.read("buy", "t", "a");
+        String runs = batches.read("buy", "u", "a");
+        batches.settle();
+        batches.ended(ran, Ending.OK, "done");
+        batches.backend.leave(batches.now(), batches.now().plusMillis(3000));
+        batches.settle();
+        batches.pass(600);
+        String after = batches.read("buy", "t", "a");
+        String during = batches.read("buy", "u", "a");
+        batches.settle();
+        batches.ended(runs, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(after));
+        assertEquals(DONE, batches.heard(during));
+        assertEquals(List.of(ran, runs), batches.launched(ran, runs, after, during));
+    }
+
+    /** The notice to leave before the agent is up, and its greeting after: nothing is begun, all is turned away, nothing is owed. */
+    @Example
+    void theAgentThatComesUpAfterTheNoticeToLeaveBeginsNothing() {
+        Around around = new Around();
+        Backend early = new Backend(Around.GIVEN, 5, around);
+        early.leave(Duration.ZERO, Duration.ofSeconds(3));
+        early.settle(Duration.ZERO);
+        early.started(Duration.ofMillis(5), true);
+        early.settle(Duration.ofMillis(5));
+        assertFalse(early.started() || early.healthy());
+        List<String> heard = new ArrayList<>();
+        assertNull(early.arrived(Duration.ofMillis(6), null, new Caller() {
+            @Override public void satisfied(byte[] result) {
+                heard.add("satisfied");
+            }
+
+            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
+                heard.add("pushed back");
+            }
+
+            @Override public void brokenOff() {
+                heard.add("broken off");
+            }
+        }));
+        assertEquals(List.of("pushed back"), heard);
+        assertEquals(0, early.inHand());
+    }
+
+    /** An alarm after the notice to leave goes on being set and answered until the stop, and one after it harms nothing. */
+    @Example
+    void alarmsGoOnAfterTheNoticeToLeaveAndAfterTheStop() {
+        Batches batches = new Batches();
+        String name = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.backend.leave(batches.now(), batches.now().plusMillis(200));
+        batches.settle();
+        assertTrue(batches.around.alarm != null);
+        batches.pass(300);
+        assertEquals(BROKEN_OFF, batches.heard(name));
+        batches.ended(name, Ending.STOPPED, "");
+        batches.settle();
+        assertEquals(0, batches.backend.inHand());
+    }
+
+    /** A clock that was read earlier than the one before: nothing is answered twice, or late, by it. */
+    @Example
+    void aClockThatStandsBackForABatchChangesNoAnswer() {
+        Batches batches = new Batches();
+        String name = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(500);
+        Duration was = batches.now();
+        batches.around.now = was.minusMillis(300);
+        String back = batches.read("look", null, "b");
+        batches.settle();
+        batches.around.now = was;
+        batches.pass(500);
+        assertEquals(BROKEN_OFF, batches.heard(name));
+        batches.ended(back, Ending.OK, "done");
+        batches.settle();
+        assertEquals(1, batches.heard(back).size());
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/core/RepeatCrossingsTest.java
@@ -0,0 +1,340 @@
+package merlinlever.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import merlinlever.Ending;
+import net.jqwik.api.Example;
+
+/** Where the tries of one request cross with each other, with the end of their window and with what is let go of. */
+class RepeatCrossingsTest {
+
+    private static final List<String> DONE = List.of("satisfied done");
+
+    /** One that ran from its arrival on and is answered; its window of 5 s counts from now. */
+    private static String ran(Batches batches) {
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(first));
+        return first;
+    }
+
+    /** Guards the edge of the window: it counts from one arrival to the other, and its last moment belongs to it. */
+    @Example
+    void aTryAtTheLastMomentOfTheWindowSharesAndOneAfterItRuns() {
+        for (int ms : new int[] {4999, 5000, 5001}) {
+            Batches batches = new Batches();
+            ran(batches);
+            batches.pass(ms);
+            String again = batches.read("buy", "t", "a");
+            batches.settle();
+            assertEquals(ms <= 5000 ? List.of() : List.of(again), batches.launched(again), ms + " ms");
+            assertEquals(ms <= 5000 ? DONE : List.of(), batches.heard(again), ms + " ms");
+        }
+    }
+
+    /** Guards that the window is judged by when a try came and not by when it was read. */
+    @Example
+    void aTryOfTheWindowThatIsReadAfterItShares() {
+        Batches batches = new Batches();
+        ran(batches);
+        batches.pass(5090);
+        String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(91));
+        String later = batches.read("buy", "t", null, "a", batches.now().minusMillis(89));
+        batches.settle();
+        assertEquals(DONE, batches.heard(again));
+        assertEquals(List.of(later), batches.launched(again, later));
+    }
+
+    /**
+     * Guards against a second run: a try that came after the window and ended unrun must not take the one that ran with
+     * it, as another try of that one's window may still be unread.
+     */
+    @Example
+    void aTryOfTheWindowIsNotRunAfterALaterTryEndedUnrun() {
+        for (boolean pushedBack : new boolean[] {false, true}) {
+            Batches batches = new Batches().busy();
+            batches.free();
+            String first = ran(batches);
+            batches.pass(5001);
+            batches.busy();
+            String later = batches.read("buy", "t", "a");
+            batches.settle();
+            assertEquals(List.of(), batches.launched(later));
+            if (pushedBack) {
+                batches.pass(510);
+                assertEquals(List.of("pushed back"), batches.heard(later));
+            } else {
+                batches.gone(later);
+                batches.settle();
+            }
+            String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(pushedBack ? 512 : 2));
+            batches.settle();
+            batches.free();
+            assertEquals(List.of(first), batches.launched(first, later, again));
+            assertEquals(DONE, batches.heard(again));
+        }
+    }
+
+    /** The same where the later try is still held: whoever came in the window is not its heir. */
+    @Example
+    void aTryOfTheWindowDoesNotWaitBehindALaterOneWhosePlaceItCouldTake() {
+        Batches batches = new Batches();
+        String first = ran(batches);
+        batches.pass(5001);
+        batches.busy();
+        String later = batches.read("buy", "t", "a");
+        batches.settle();
+        String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(2));
+        batches.gone(later);
+        batches.settle();
+        batches.free();
+        assertEquals(List.of(first), batches.launched(first, later, again));
+        assertEquals(DONE, batches.heard(again));
+    }
+
+    /** Guards against a second run: a time ahead of ours is no way out of the window. */
+    @Example
+    void aTryThatIsDatedAheadIsReadNow() {
+        Batches batches = new Batches();
+        ran(batches);
+        batches.pass(3000);
+        String again = batches.read("buy", "t", null, "a", batches.now().plusMillis(4500));
+        batches.settle();
+        assertEquals(List.of(), batches.launched(again));
+        assertEquals(DONE, batches.heard(again));
+    }
+
+    /** Guards the others: a date of years ago is no news of how long requests wait unread, and turns nobody away. */
+    @Example
+    void aTimeLongPastTurnsNobodyElseAway() {
+        Batches batches = new Batches();
+        String old = batches.read("look", null, null, "x", Duration.ofDays(-18_000));
+        batches.settle();
+        assertEquals(List.of("broken off"), batches.heard(old));
+        for (int i = 0; i < 12; i++) {
+            String name = batches.read("look", null, "a" + i);
+            batches.settle();
+            assertEquals(List.of(name), batches.launched(name), "number " + i);
+            batches.ended(name, Ending.OK, "done");
+        }
+    }
+
+    /** Two tries in one batch: the second waits for the first. */
+    @Example
+    void ofTwoTriesInOneBatchOneRuns() {
+        Batches batches = new Batches();
+        String first = batches.read("buy", "t", "a");
+        String second = batches.read("buy", "t", "a");
+        batches.settle();
+        assertEquals(List.of(first), batches.launched(first, second));
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(second));
+    }
+
+    /** The first is pushed back, its heir's caller goes in the same batch; the next in line runs, and no trace is left. */
+    @Example
+    void anHeirWhoseCallerGoesInTheSameBatchPassesItsPlaceOn() {
+        Batches batches = new Batches().busy();
+        String first = batches.read("buy", "t", "a");
+        String heir = batches.read("buy", "t", "a");
+        String next = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.gone(first);
+        batches.gone(heir);
+        batches.settle();
+        batches.free();
+        assertEquals(List.of(next), batches.launched(first, heir, next));
+        batches.gone(next);
+        assertEquals(5, batches.backend.known(), "four that run and the one that ran on");
+        assertNull(batches.work(heir).body);
+    }
+
+    /** Guards against two runs at once: a window that is over before the run leaves the run known until it has ended. */
+    @Example
+    void aTryAfterAWindowThatIsShorterThanTheRunShares() {
+        for (String window : new String[] {"50", "0"}) {
+            Batches batches = new Batches(Batches.with("tariffs.1.window", window));
+            String first = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.pass(300);
+            String during = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.ended(first, Ending.OK, "done");
+            batches.settle();
+            batches.pass(20);
+            String unread = batches.read("buy", "t", null, "a", batches.now().minusMillis(25));
+            batches.settle();
+            assertEquals(DONE, batches.heard(during));
+            assertEquals(DONE, batches.heard(unread));
+            String after = batches.read("buy", "t", "a");
+            batches.settle();
+            assertEquals(List.of(first, after), batches.launched(first, during, unread, after));
+        }
+    }
+
+    /** Guards the memory: no result stays longer than it can be asked for, however long its run took. */
+    @Example
+    void theResultOfARunThatOutlastedItsWindowIsLetGo() {
+        Batches batches = new Batches(Batches.with("tariffs.1.window", "50", "tariffs.1.client-timeout", "9000"));
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(3000);
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        batches.pass(1900);
+        assertTrue(batches.work(first).result != null);
+        batches.pass(200);
+        assertNull(batches.work(first).result);
+        assertNull(batches.work(first).body);
+    }
+
+    /** Guards the memory: the result is let go of too where another run has taken its place by then. */
+    @Example
+    void theResultOfARunThatWasFollowedByAnotherIsLetGo() {
+        Batches batches = new Batches();
+        String first = ran(batches);
+        batches.pass(5001);
+        ran(batches);
+        batches.pass(2100);
+        assertNull(batches.work(first).result);
+        assertNull(batches.work(first).body);
+    }
+
+    /** Guards the memory in a flood of callers that go at once: the body goes with the one that never ran. */
+    @Example
+    void theBodyOfWhatNeverRanIsLetGoWithItsCaller() {
+        Batches batches = new Batches().busy();
+        String held = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.gone(held);
+        batches.settle();
+        assertNull(batches.work(held).body);
+        assertEquals(4, batches.backend.known());
+    }
+
+    /** Guards the memory: of those who ask again and again while it runs and go, the run keeps no list. */
+    @Example
+    void theTriesOfARunThatAreGoneAreNotKept() {
+        Batches batches = new Batches();
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        for (int i = 0; i < 50; i++) {
+            String again = batches.read("buy", "t", "a");
+            batches.settle();
+            batches.gone(again);
+            batches.settle();
+        }
+        assertTrue(batches.work(first).sharers.size() <= 1, batches.work(first).sharers.size() + " kept");
+        assertEquals(1, batches.backend.known());
+    }
+
+    /**
+     * A result that is let go as its last tries come in: one that came in the window but is read more than 2 s after its
+     * end is broken off, never run.
+     */
+    @Example
+    void aTryThatIsReadAfterItsResultWasLetGoIsBrokenOffAndNotRun() {
+        for (int late : new int[] {1990, 2010, 20_000}) {
+            Batches batches = new Batches();
+            batches.wait = Duration.ofSeconds(25);
+            ran(batches);
+            batches.pass(5000 + late);
+            String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(late + 1));
+            batches.settle();
+            assertEquals(List.of(), batches.launched(again));
+            assertEquals(late < 2000 ? DONE : List.of("broken off"), batches.heard(again), late + " ms late");
+        }
+    }
+
+    /** The result goes in the very batch in which a try of its window is read: before the sweep it shares, after it not. */
+    @Example
+    void aTryReadInTheBatchThatLetsTheResultGoHasOneAnswerAndNoRun() {
+        Batches batches = new Batches();
+        batches.wait = Duration.ofSeconds(25);
+        ran(batches);
+        batches.pass(7000);
+        around(batches, 2);
+        String before = batches.read("buy", "t", null, "a", batches.now().minusMillis(2100));
+        batches.settle();
+        String after = batches.read("buy", "t", null, "a", batches.now().minusMillis(2100));
+        batches.settle();
+        assertEquals(DONE, batches.heard(before));
+        assertEquals(List.of("broken off"), batches.heard(after));
+        assertEquals(List.of(), batches.launched(before, after));
+    }
+
+    private static void around(Batches batches, long ms) {
+        batches.around.now = batches.around.now.plusMillis(ms);
+    }
+
+    /** The same id on two connections: the second is answered at once, the first goes on and is answered by its run. */
+    @Example
+    void theSameIdOnTwoConnectionsLeavesTheFirstAlone() {
+        Batches batches = new Batches();
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        assertNull(batches.readAs(Long.parseLong(first, 16), "second", "buy", "t", null, "a", batches.now()));
+        assertEquals(List.of("broken off"), batches.heard("second"));
+        assertEquals(1, batches.backend.inHand());
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(first));
+        assertEquals(List.of("launch"), batches.asked(first));
+    }
+
+    /** The id of one that was let go of, used again while the agent knows it still: the agent's word is taken for it. */
+    @Example
+    void anIdThatIsUsedAgainIsAnsweredByWhatTheAgentSaysOfIt() {
+        Batches batches = new Batches();
+        String first = ran(batches);
+        batches.pass(36_000);
+        assertEquals(0, batches.backend.known());
+        batches.readAs(Long.parseLong(first, 16), first, "look", null, null, "b", batches.now());
+        batches.settle();
+        batches.ended(first, Ending.NEVER_BEGUN, "");
+        batches.settle();
+        assertEquals(List.of("broken off"), batches.heard(first));
+        batches.ended(first, Ending.OK, "late");
+        batches.settle();
+        assertEquals(0, batches.backend.inHand());
+    }
+
+    /** A subject that comes with a write stands for nothing that could be shared: each is run and answered by itself. */
+    @Example
+    void writesWithOneSubjectAreNotServedWithEachOthersResult() {
+        Batches batches = new Batches(Batches.with("server.fresh-for", "1000", "tariffs.1.kind", "binding"));
+        String one = batches.read("buy", null, "s", "a", batches.now());
+        String two = batches.read("buy", null, "s", "b", batches.now());
+        batches.settle();
+        assertEquals(List.of(one, two), batches.launched(one, two));
+        batches.ended(one, Ending.OK, "of a");
+        batches.ended(two, Ending.OK, "of b");
+        batches.settle();
+        assertEquals(List.of("satisfied of a"), batches.heard(one));
+        assertEquals(List.of("satisfied of b"), batches.heard(two));
+    }
+
+    /** A class whose effect is not the usual one: without tokens each try is one of its own, also where a call may be made. */
+    @Example
+    void triesOfAClassWithNoTokensAreRunEachOnceAndTheirCallsMadeOnce() {
+        Batches batches = new Batches(Batches.with("tariffs.1.kind", "binding"));
+        String one = batches.read("buy", null, "a");
+        String two = batches.read("buy", null, "a");
+        batches.settle();
+        batches.needsCall(one);
+        batches.settle();
+        batches.replied(one, Ending.CUT_OFF);
+        batches.settle();
+        assertEquals(List.of("launch", "call"), batches.asked(one), "a call that may have had its effect is not made again");
+        assertEquals(List.of("broken off"), batches.heard(one));
+        assertEquals(List.of("launch"), batches.asked(two));
+    }
+
+}
