Two tries of one request that are read in one batch no longer both run

Seen, by a scripted batch on core.Backend: the caller of a held first goes, a try that waited for it takes its place, and the next try, read in the same batch, still names the first; it was taken as new, and both were launched. The same with three tries in one batch of which the first is turned away as it is read: the second and the third were both launched.

Excluded: the core's table is right after the next settling; only within the batch does it still name the first. Lines at fault: policy.Repeats.joins, which followed `original` only for one that waits itself, and `return false` for one that ended unrun, whoever had its place.

Change: one that ended unrun names who has its place (its heir, or the next try), and a try of it joins that one. With that, what is known of ended runs is let go by its time and not in the order of ending: a class with a window of ten minutes kept what all others had left for as long.

--- a/src/main/java/merlinlever/policy/Repeats.java
+++ b/src/main/java/merlinlever/policy/Repeats.java
@@ -3,7 +3,6 @@
 import static merlinlever.Spans.reached;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import merlinlever.Ending;
@@ -25,7 +24,7 @@
     private final Server server;
     private final double fingerprintKb;
     private final Duration fresh, longestUnread;
-    private final ArrayDeque<Entry> past = new ArrayDeque<>();
+    private final PriorityQueue<Entry> past = new PriorityQueue<>(Comparator.comparing(Entry::until));
     private final PriorityQueue<Entry> table = new PriorityQueue<>(Comparator.comparing(Entry::until));
 
     Repeats(Server server, Given given) {
@@ -42,7 +41,9 @@
     /** Rule 2: a repeat of what may have run shares its outcome or is broken off; it is never run itself. */
     boolean joins(Op op, Operation repeats, Duration now) {
         Op original = repeats instanceof Op ? (Op) repeats : null;
-        while (original != null && original.phase == Phase.FOLLOWING) {
+        // Who ended unrun in this batch is still named; another may have its place.
+        while (original != null && original.original != null && (original.phase == Phase.FOLLOWING
+                || original.phase == Phase.OVER && !original.ran)) {
             original = original.original;
         }
         if (original == null) {
@@ -70,6 +71,7 @@
         } else if (!op.tariff.retriable && original.ran) {
             server.endings.breakOff(op, now);
         } else {
+            original.original = op;
             return false;
         }
         return true;
@@ -90,6 +92,7 @@
             } else if (heir == null) {
                 heir = follower;
                 heir.original = null;
+                op.original = heir;
                 server.move(heir, Phase.HELD);
                 strike(op);
                 if (roomFor(heir)) {
--- a/src/test/java/merlinlever/core/RepeatCrossingsTest.java
+++ b/src/test/java/merlinlever/core/RepeatCrossingsTest.java
@@ -125,6 +125,28 @@
         }
     }
 
+    /**
+     * Guards against two runs of three tries that were read in one batch: the first is turned away at once, the second
+     * takes its place, and the third names the first still.
+     */
+    @Example
+    void ofThreeTriesInOneBatchOneRuns() {
+        Batches batches = new Batches();
+        // Next to one that was read at once, one that is read so late is turned away as it is read.
+        batches.read("look", null, "x");
+        batches.settle();
+        String first = batches.read("buy", "t", null, "a", batches.now().minusMillis(600));
+        String second = batches.read("buy", "t", "a");
+        String third = batches.read("buy", "t", "a");
+        batches.settle();
+        assertEquals(List.of("pushed back"), batches.heard(first));
+        assertEquals(List.of(second), batches.launched(first, second, third));
+        batches.ended(second, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(second));
+        assertEquals(DONE, batches.heard(third));
+    }
+
     /** Two tries in one batch: the second waits for the first. */
     @Example
     void ofTwoTriesInOneBatchOneRuns() {
@@ -138,6 +160,28 @@
         assertEquals(DONE, batches.heard(second));
     }
 
+    /**
+     * Guards against two runs: the caller of the first goes, a try that waited for it takes its place, and the next try
+     * is read in the same batch and names the first still.
+     */
+    @Example
+    void anHeirAndATryOfTheSameBatchDoNotBothRun() {
+        Batches batches = new Batches().busy();
+        String first = batches.read("buy", "t", "a");
+        String heir = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.gone(first);
+        String next = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.free();
+        assertEquals(List.of(heir), batches.launched(first, heir, next));
+        batches.ended(heir, Ending.OK, "done");
+        batches.settle();
+        assertEquals(List.of(), batches.heard(first));
+        assertEquals(DONE, batches.heard(heir));
+        assertEquals(DONE, batches.heard(next));
+    }
+
     /** The first is pushed back, its heir's caller goes in the same batch; the next in line runs, and no trace is left. */
     @Example
     void anHeirWhoseCallerGoesInTheSameBatchPassesItsPlaceOn() {
@@ -337,4 +381,17 @@
         assertEquals(List.of("launch"), batches.asked(two));
     }
 
+    /** Guards the memory: what a class with a long window leaves behind does not keep what another has left. */
+    @Example
+    void whatHasAShortWindowIsNotKeptBehindWhatHasALongOne() {
+        Batches batches = new Batches(Batches.with("tariffs.0.window", "1000", "tariffs.1.window", "600000"));
+        ran(batches);
+        for (int i = 0; i < 100; i++) {
+            String read = batches.read("look", null, "a");
+            batches.settle();
+            batches.ended(read, Ending.OK, "done");
+        }
+        batches.pass(31_100);
+        assertEquals(1, batches.backend.known(), "the one with the long window");
+    }
 }
