A run that another try shares is not stopped as the time of the first is over

Seen, by a scripted batch on core.Backend: a later try of the request shares the run; at the deadline of the first, or for a read as its caller goes, the run was stopped, and the later try was broken off with it; a keyed one is not run again within its window, so the request was lost to its client though its time was not over.

Excluded: the core, which hands the outcome to all that share it. Line at fault: policy.Endings.halt, which asked only whether the operation runs.

Change: halt leaves a run alone that some operation in hand shares. Without the condition (trial on a scratch copy) aRunThatALaterTrySharesIsNotStoppedAtTheDeadlineOfTheFirst and aReadThatOthersShareRunsOnWithoutItsCaller fail. A run that is shared by nobody is stopped as before.

--- a/src/main/java/merlinlever/policy/Endings.java
+++ b/src/main/java/merlinlever/policy/Endings.java
@@ -84,7 +84,9 @@
     }
 
     void halt(Op op) {
-        if (mayHalt && op.phase == Phase.RUNNING && !op.halting) {
+        // Those that share its outcome are owed it still.
+        if (mayHalt && op.phase == Phase.RUNNING && !op.halting && server.hand.stream()
+                .noneMatch(other -> other.phase == Phase.SHARING && other.original == op)) {
             op.halting = true;
             server.next.halted.add(op);
         }
--- a/src/test/java/merlinlever/core/EndingCrossingsTest.java
+++ b/src/test/java/merlinlever/core/EndingCrossingsTest.java
@@ -218,6 +218,44 @@
         }
     }
 
+    /** Guards the request: a later try shares the run, so the run is not stopped as the deadline of the first is reached. */
+    @Example
+    void aRunThatALaterTrySharesIsNotStoppedAtTheDeadlineOfTheFirst() {
+        Batches batches = new Batches();
+        String first = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(700);
+        String later = batches.read("buy", "t", "a");
+        batches.settle();
+        batches.pass(400);
+        assertEquals(BROKEN_OFF, batches.heard(first));
+        assertEquals(List.of("launch"), batches.asked(first));
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(later));
+    }
+
+    /** The same for a read that others share, whose own caller goes; with the last of them gone it is stopped as before. */
+    @Example
+    void aReadThatOthersShareRunsOnWithoutItsCaller() {
+        Batches batches = new Batches(Batches.with("server.fresh-for", "1000"));
+        String first = batches.read("look", null, "s", "", batches.now());
+        batches.settle();
+        String other = batches.read("look", null, "s", "", batches.now());
+        batches.settle();
+        batches.gone(first);
+        batches.settle();
+        assertEquals(List.of("launch"), batches.asked(first));
+        batches.ended(first, Ending.OK, "done");
+        batches.settle();
+        assertEquals(DONE, batches.heard(other));
+        String alone = batches.read("look", null, "u", "", batches.now());
+        batches.settle();
+        batches.gone(alone);
+        batches.settle();
+        assertEquals(List.of("launch", "freeze"), batches.asked(alone));
+    }
+
     /** Shares a run that is stopped for good: broken off with it, and a try that comes then is not run either. */
     @Example
     void whoSharesARunThatWasStoppedIsBrokenOff() {
