--- a/src/test/java/merlinlever/core/EndingCrossingsTest.java
+++ b/src/test/java/merlinlever/core/EndingCrossingsTest.java
@@ -164,7 +164,7 @@
         batches.settle();
         batches.backend.linkLost(batches.now());
         batches.backend.linkBack(batches.now());
-        batches.backend.caughtUp(around.now);
+        batches.backend.caughtUp(batches.now());
         assertEquals(List.of("launch", "launch"), batches.asked(name));
         batches.ended(name, Ending.OK, "done");
         batches.ended(name, Ending.NEVER_BEGUN, "");
