--- a/src/test/java/merlinlever/ci/KnownRedTest.java
+++ b/src/test/java/merlinlever/ci/KnownRedTest.java
@@ -79,7 +79,6 @@
         assertTrue(calls.get(3).startsWith(PLAIN + " -Dsurefire.excludesFile="), calls.get(3));
         assertEquals(List.of("some.place.FirstTest#red", "some.place.FirstTest#redder", "some.place.FirstTest#onOneLine"),
                 lines("excludes"));
-        assertFalse(Files.exists(root.resolve("target/surefire-reports/TEST-some.place.FirstTest-known-red.xml")));
 
         write("verdict", "3");
         write("reports/TEST-some.place.FirstTest-known-red.xml", "<testcase name=\"red\"/>\n");
@@ -89,6 +88,11 @@
 
         // One test's report is not taken for the next one's of its class.
         assertTrue(passed.out().contains("KNOWN RED some.place.FirstTest#redder: no result"), passed.out()::toString);
+
+        // Nor is it left among the reports of those that count.
+        write("KNOWN-RED.txt", RED);
+        assertEquals(3, run(".ci/run").status());
+        assertFalse(Files.exists(root.resolve("target/surefire-reports/TEST-some.place.FirstTest-known-red.xml")));
     }
 
     /** Whatever is not a line of the form, or one too many, ends CI before Maven is asked. */
