Records link: calls leave for the new place at once, and wait for no descriptor until their limit

Seen by reading, each shown by a test over loopback sockets or, where one batch has to hold both events, in memory: - moveTo left a call on a dial to the old place that neither accepts nor refuses: it waited there for its limit. Nothing of a call has left on a connection that is not made, so the dial is ended and the call goes to the new place; without any place such calls end as never made (they were left to a connect that fails and a limit of 2 s). - line() returned null when no channel could be opened (too many open files), and nothing asked again: the call waited for another call or for its limit. It now gets its line in a task of its own, behind what has been read. - The limit ran before replies that had been read and stood behind a full batch. Its ending is now behind them, too. - With all lines idle, each having had this operation's last call, and no room for another, its call waited for the idle time. One of them now makes room; the guard "dealing" keeps that from going round within itself. - A second call for an operation lost the first from the table, which then ended the second in its place. The first is given up before (the module makes none such today). The table of calls keeps its order, so that nothing goes by hash.

--- a/src/main/java/merlinlever/records/RecordsLink.java
+++ b/src/main/java/merlinlever/records/RecordsLink.java
@@ -6,8 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import merlinlever.Ending;
@@ -40,12 +41,14 @@
     private final Log log;
     private final int most;
     private InetSocketAddress address;
-    private final Map<Long, Call> calls = new HashMap<>();
+    private final Map<Long, Call> calls = new LinkedHashMap<>();
     /** Calls in hand that have no line yet. */
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     /** Lines without a call, the one used last first. */
     private final ArrayDeque<Line> idle = new ArrayDeque<>();
     private int lines;
+    /** While calls get their lines, a line that ends has the next one to do. */
+    private boolean dealing;
 
     /** One call, from its asking to its end. */
     private static final class Call {
@@ -68,7 +71,7 @@
         private Connection connection;
         private Call call;
         private long lastId;
-        private boolean surplus;
+        private boolean made, surplus;
         /** Since when it has been idle, or has held a part of a reply. */
         private Duration since;
         private boolean partly;
@@ -82,6 +85,10 @@
                     ByteBuffer.wrap(next.body), ascii("\r\n"));
         }
 
+        @Override public void made() {
+            made = true;
+        }
+
         @Override public void read(ByteBuffer in) {
             try {
                 Reply reply = Reply.read(in.array(), in.position(), in.limit());
@@ -136,12 +143,24 @@
         loop.every(SWEEP, this::sweep);
     }
 
-    /** The service is to be reached there from now on; the calls in hand end where they are. */
+    /** The service is to be reached there from now on; calls end where they are, but where nothing of them has left. */
     public void moveTo(InetSocketAddress there) {
-        if (!Objects.equals(there, address)) {
-            address = there;
-            sweep();
+        if (Objects.equals(there, address)) {
+            return;
+        }
+        address = there;
+        List<Line> unmade = calls.values().stream().map(call -> call.line).filter(line -> line != null && !line.made).toList();
+        for (int i = unmade.size(); i-- > 0;) {
+            Line line = unmade.get(i);
+            waiting.addFirst(line.call);
+            line.call.line = null;
+            line.call = null;
         }
+        unmade.forEach(line -> line.connection.end(Ended.DONE));
+        if (there == null) {
+            List.copyOf(waiting).forEach(call -> over(call, Ended.NOT_MADE.ofCall(), null));
+        }
+        sweep();
     }
 
     private void sweep() {
@@ -152,6 +171,8 @@
                 && (!idle.peekLast().to.equals(address) || idle.peekLast().since.plus(IDLE).compareTo(now) <= 0)) {
             idle.pollLast().connection.end(Ended.IDLE);
         }
+        // There may be a descriptor now where there was none.
+        nextWaiting();
     }
 
     @Override public void call(Work work, byte[] body, Duration within) {
@@ -159,11 +180,21 @@
             loop.execute(() -> maker.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
             return;
         }
+        // The service takes a second call for an operation as the end of its first.
+        giveUp(work);
         Call call = new Call(work, body, loop.clock().uptime().plus(within));
         calls.put(work.id(), call);
-        call.limit = loop.in(within.plus(LATE), () -> giveUp(call, Ending.GIVEN_UP));
+        // What has been read is gone through before: a reply that is among it is in time, and an idle line whose end is
+        // among it gets no call.
+        call.limit = loop.in(within.plus(LATE), () -> loop.execute(() -> expired(call)));
         waiting.add(call);
-        nextWaiting();
+        loop.execute(this::nextWaiting);
+    }
+
+    private void expired(Call call) {
+        if (calls.get(call.work.id()) == call) {
+            giveUp(call, Ending.GIVEN_UP);
+        }
     }
 
     @Override public void giveUp(Work work) {
@@ -196,12 +227,17 @@
     }
 
     private void nextWaiting() {
-        while (!waiting.isEmpty()) {
-            Line line = line(waiting.peek().work.id());
-            if (line == null) {
-                return;
+        if (dealing || address == null) {
+            return;
+        }
+        dealing = true;
+        try {
+            Line line = null;
+            while (!waiting.isEmpty() && (line = line(waiting.peek().work.id())) != null) {
+                line.carry(waiting.poll());
             }
-            line.carry(waiting.poll());
+        } finally {
+            dealing = false;
         }
     }
 
@@ -214,6 +250,10 @@
                 return line;
             }
         }
+        if (lines >= most && !idle.isEmpty()) {
+            // All that are idle had this operation's last call: one of them makes room.
+            idle.peekLast().connection.end(Ended.IDLE);
+        }
         if (lines >= most) {
             return null;
         }
--- /dev/null
+++ b/src/test/java/merlinlever/net/DrivenLoop.java
@@ -0,0 +1,114 @@
+package merlinlever.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/** A real loop on a thread of its own, whose time stands still but where the test moves it on. */
+public final class DrivenLoop implements AutoCloseable {
+
+    /** Of real time, for what never comes; it decides no verdict. */
+    public static final int PATIENCE_MS = 10_000;
+
+    private final AtomicLong nanos = new AtomicLong(1_000_000_000_000L);
+    private final List<Throwable> failures = Collections.synchronizedList(new ArrayList<>());
+    private final Thread thread;
+    public final Loop loop;
+
+    /** On sockets. */
+    public DrivenLoop() throws IOException {
+        loop = new Loop(new Clock(nanos::get, nanos::get), failures::add);
+        thread = begin();
+    }
+
+    /** In memory: what is connected to is a party of the test's. */
+    public DrivenLoop(Function<SocketAddress, Connection.Party> parties) {
+        loop = new Loop(new Clock(nanos::get, nanos::get), failures::add, parties);
+        thread = begin();
+    }
+
+    private Thread begin() {
+        Thread made = new Thread(loop::run);
+        made.setDaemon(true);
+        made.start();
+        return made;
+    }
+
+    /** What the task returns, which runs on the loop. */
+    public <T> T on(Supplier<T> task) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(task.get());
+            } catch (RuntimeException | Error e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return join(done);
+    }
+
+    private static <T> T join(CompletableFuture<T> done) {
+        return done.orTimeout(PATIENCE_MS, TimeUnit.MILLISECONDS).join();
+    }
+
+    public void run(Runnable task) {
+        on(() -> {
+            task.run();
+            return null;
+        });
+    }
+
+    /** So much later; the timers that are due have run when this returns. */
+    public void later(long ms) {
+        CompletableFuture<Void> last = new CompletableFuture<>();
+        loop.execute(() -> {
+            laterNow(ms);
+            loop.in(Duration.ZERO, () -> last.complete(null));
+        });
+        join(last);
+    }
+
+    /** From a task on the loop: its timers are due with the batch that runs. */
+    public void laterNow(long ms) {
+        nanos.addAndGet(Duration.ofMillis(ms).toNanos());
+    }
+
+    /** So many batches have run; in memory all that was under way has arrived after some. */
+    public void batches(int count) {
+        for (int i = 0; i < count; i++) {
+            later(0);
+        }
+    }
+
+    /** Waits for what is sure to come. */
+    public void until(BooleanSupplier come, String what) {
+        long from = System.nanoTime();
+        while (!on(come::getAsBoolean)) {
+            assertTrue(System.nanoTime() - from < PATIENCE_MS * 1_000_000L, "did not come: " + what);
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Ends it; nothing on it may have failed. */
+    @Override public void close() {
+        loop.stop();
+        try {
+            thread.join(PATIENCE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        assertEquals(List.of(), failures);
+    }
+}
