Drain: look whether all is answered one turn after the listener closes; bounded waits in tests

Seen by reading: Serve.leave closed the listener and asked endWhenAnswered in the same turn of the loop; an accept whose completion waited in the loop's queue was not with the edge nodes yet, so with no other connection open the process ended over it. The first look is one POLL later now.

Tests: each wait of SignalsTest is bounded, a served process of a test is killed after 60 s, what a failed start said is read after its end.

--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -20,6 +20,8 @@
 /** One real backend: puts the parties round the core and runs until it is told to leave. */
 public final class Serve implements Signals.Receiver {
 
+    /** So often it is looked at whether all is answered. */
+    private static final Duration POLL = Duration.ofMillis(10);
     private static final Duration COMPARE = Duration.ofSeconds(1);
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
@@ -60,7 +62,6 @@
     private final String rehearsed;
     /** The next reading of a configuration that could not be used, or null. */
     private Loop.Timer readingAgain;
-    private boolean leaving;
 
     /** All but the listening, so that nobody is taken in before it is known who hears of the notice to leave. */
     private Serve(Map<String, String> environment, Log log, long began) throws Unusable {
@@ -212,10 +213,6 @@
     }
 
     private void leave() {
-        if (leaving) {
-            return;
-        }
-        leaving = true;
         Duration stop = started.stopAfter().minus(LAST_WRITES);
         Duration grace = Duration.ofMillis((long) Stated.number(started.given(), "rules.drain-grace", 0));
         if (recovering != null) {
@@ -226,7 +223,8 @@
         loop.in(grace.compareTo(stop) < 0 ? grace : stop, () -> {
             edge.close();
             Duration last = clock.uptime().plus(grace.compareTo(stop) < 0 ? stop.minus(grace) : Duration.ZERO);
-            loop.every(Duration.ofMillis(10), () -> endWhenAnswered(last));
+            // Not in this turn: a connection that was accepted in it is not with the edge nodes yet.
+            loop.in(POLL, () -> loop.every(POLL, () -> endWhenAnswered(last)));
         });
     }
 
--- a/src/test/java/merlinlever/cli/ServedProcess.java
+++ b/src/test/java/merlinlever/cli/ServedProcess.java
@@ -16,6 +16,8 @@
 import java.nio.file.Path;
 import java.util.Base64;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import merlinlever.json.Json;
 import net.jqwik.api.lifecycle.AfterTry;
 
@@ -59,7 +61,10 @@
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-cp", "target/classes", "merlinlever.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
-        program = builder.start();
+        Process started = builder.start();
+        // Whoever reads what it says reads to its end: a test that fails is over, too.
+        CompletableFuture.delayedExecutor(60, TimeUnit.SECONDS).execute(started::destroyForcibly);
+        program = started;
         return program;
     }
 
--- a/src/test/java/merlinlever/cli/SignalsTest.java
+++ b/src/test/java/merlinlever/cli/SignalsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import merlinlever.net.Signals;
 import net.jqwik.api.Example;
 
@@ -27,6 +28,20 @@
         }
     };
 
+    private static final long PATIENCE_MS = 10_000;
+
+    private static Thread begun(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static void over(Thread thread) throws InterruptedException {
+        thread.join(PATIENCE_MS);
+        assertFalse(thread.isAlive(), "it waits for nobody");
+    }
+
     /** Against a SIGHUP that is lost where it comes while the start still reads and rehearses; twice is as good as once. */
     @Example
     void aHangUpBeforeThereIsAReceiverIsPassedOnOnce() {
@@ -41,19 +56,19 @@
 
     /** Against a shutdown hook that waits for a loop that never runs, and against listening after it. */
     @Example
-    void aTerminationBeforeThereIsAReceiverWaitsForNobodyAndNothingIsBegun() {
+    void aTerminationBeforeThereIsAReceiverWaitsForNobodyAndNothingIsBegun() throws InterruptedException {
         signals.hangUp();
-        signals.terminate();
+        over(begun(signals::terminate));
         assertFalse(signals.receive(receiver));
         assertEquals(List.of(), heard);
     }
 
     /** Against a hook that waits where the start has failed by itself: the exit with status 1 runs it too. */
     @Example
-    void aTerminationAfterTheEndWaitsForNobody() {
+    void aTerminationAfterTheEndWaitsForNobody() throws InterruptedException {
         assertTrue(signals.receive(receiver));
         signals.over();
-        signals.terminate();
+        over(begun(signals::terminate));
         assertEquals(List.of(), heard, "nobody is there to be told");
     }
 
@@ -61,18 +76,16 @@
     @Example
     void aTerminationWaitsUntilTheReceiverIsDoneAndHoldsUpNoHangUp() throws InterruptedException {
         assertTrue(signals.receive(receiver));
-        Thread first = new Thread(signals::terminate);
-        Thread second = new Thread(signals::terminate);
-        first.start();
-        told.await();
-        second.start();
+        Thread first = begun(signals::terminate);
+        assertTrue(told.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        Thread second = begun(signals::terminate);
         // It gets in between only while the termination waits: so nobody has returned yet.
-        signals.hangUp();
+        over(begun(signals::hangUp));
         assertTrue(first.isAlive());
         assertTrue(heard.contains("hang up"));
         signals.over();
-        first.join();
-        second.join();
+        over(first);
+        over(second);
         assertEquals("terminate", heard.get(0));
     }
 }
--- a/src/test/java/merlinlever/cli/StartAndStopTest.java
+++ b/src/test/java/merlinlever/cli/StartAndStopTest.java
@@ -173,8 +173,8 @@
             {good.replace("\"drain-grace\":100", "\"drain-grace\":\"s\\noon\""), "invariants.drain-grace is \"s oon\"; allowed: a number"}};
         for (String[] each : bad) {
             start(each[0]);
-            String told = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
             ends(1);
+            String told = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(told.startsWith("merlinlever: " + file + ": ") && told.contains(each[1]), told);
             assertEquals(told.length() - 1, told.indexOf('\n'), told);
         }
