--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -113,7 +113,7 @@
                 late.callOff();
                 if (ended == null) {
                     made = true;
-                    user.made();
+                    tell(user::made);
                     wantWrite();
                     readOn();
                 }
@@ -181,6 +181,12 @@
         }
     }
 
+    private void tell(Runnable what) {
+        if (!loop.guarded(what)) {
+            end(Ended.FAILED);
+        }
+    }
+
     private final CompletionHandler<Integer, Void> ON_READ = new CompletionHandler<>() {
         @Override public void completed(Integer count, Void none) {
             reading = false;
@@ -236,7 +242,7 @@
             out.clear();
             queued = 0;
             loop.execute(other::readOn);
-            user.written();
+            tell(user::written);
             return;
         }
         writing = true;
@@ -255,7 +261,7 @@
                 return;
             }
             if (out.isEmpty()) {
-                user.written();
+                tell(user::written);
             } else {
                 wantWrite();
             }
--- a/src/test/java/merlinlever/http/EdgeFixture.java
+++ b/src/test/java/merlinlever/http/EdgeFixture.java
@@ -43,7 +43,7 @@
     final List<String> asked = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new ArrayList<>();
     final Loop loop = new Loop(new Clock(() -> nanos.get() + 1_700_000_000_000_000_000L, nanos::get), failures::add);
-    final Backend backend = new Backend(Map.ofEntries(Map.entry("server.cores", "4"), Map.entry("server.memory-kb", "90000"),
+    final Backend backend = new Backend(Map.ofEntries(Map.entry("server.cores", "16"), Map.entry("server.memory-kb", "90000"),
             Map.entry("server.run-factor", "4"), Map.entry("server.halt", "drop"), Map.entry("rules.crowd-factor", "8"),
             Map.entry("rules.drain-grace", "100"), Map.entry("tariffs.0.name", "look"), Map.entry("tariffs.0.kind", "retriable"),
             Map.entry("tariffs.0.soft-limit", "20000"), Map.entry("tariffs.0.client-timeout", "40000")), 5, this);
--- /dev/null
+++ b/src/test/java/merlinlever/net/CrossingTest.java
@@ -0,0 +1,239 @@
+package merlinlever.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** Ends, failures and writes of connections that cross each other. */
+class CrossingTest {
+
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+    private final List<Throwable> failures = new ArrayList<>();
+
+    private Loop loop() throws IOException {
+        Loop loop = new Loop(Clock.system(), failures::add);
+        // Whatever goes wrong, no test waits for ever.
+        loop.in(Duration.ofSeconds(20), () -> {
+            failures.add(new IllegalStateException("it took too long"));
+            loop.stop();
+        });
+        return loop;
+    }
+
+    /** Hears the end, which stops the loop; what else it does is up to each test. */
+    private static class Ends implements Connection.User {
+        final List<Ended> heard = new ArrayList<>();
+        final Loop loop;
+
+        Ends(Loop loop) {
+            this.loop = loop;
+        }
+
+        @Override public void read(ByteBuffer in) {
+            in.position(in.limit());
+        }
+
+        @Override public void ended(Ended how) {
+            heard.add(how);
+            loop.stop();
+        }
+    }
+
+    private static boolean noDelay(Connection connection) throws ReflectiveOperationException, IOException {
+        Field field = Connection.class.getDeclaredField("channel");
+        field.setAccessible(true);
+        return ((AsynchronousSocketChannel) field.get(connection)).getOption(StandardSocketOptions.TCP_NODELAY);
+    }
+
+    /** The system holds nothing back on any stream: small writes would wait there, and a reset throw them away. */
+    @Example
+    void nothingIsHeldBackOnAcceptedAndOnDialledStreams() throws Exception {
+        Loop loop = loop();
+        List<Boolean> accepted = new ArrayList<>();
+        Listener listener = new Listener(loop, new InetSocketAddress(HERE, 0), 4, channel -> {
+            try {
+                accepted.add(noDelay(Connection.accepted(loop, channel, new Ends(loop), 64, 64)));
+            } catch (ReflectiveOperationException | IOException e) {
+                failures.add(e);
+            }
+            loop.stop();
+        }, () -> { });
+        listener.accept();
+        Connection dialled = Connection.to(loop, listener.address(), new Ends(loop), 64, 64, Duration.ofSeconds(5));
+        loop.run();
+        assertEquals(List.of(true), accepted);
+        assertTrue(noDelay(dialled));
+        assertEquals(List.of(), failures);
+        loop.group().shutdownNow();
+    }
+
+    /** A user that fails as it hears of a connection made, or of all written, ends it: nobody else would look at it again. */
+    @Example
+    void aUserThatFailsBetweenReadsEndsItsConnection() throws Exception {
+        for (boolean asMade : new boolean[] {true, false}) {
+            failures.clear();
+            try (ServerSocket server = new ServerSocket(0, 50, HERE)) {
+                Loop loop = loop();
+                Ends ends = new Ends(loop) {
+                    @Override public void made() {
+                        if (asMade) {
+                            throw new IllegalStateException("on purpose");
+                        }
+                    }
+
+                    @Override public void written() {
+                        throw new IllegalStateException("on purpose");
+                    }
+                };
+                Connection connection = Connection.to(loop, server.getLocalSocketAddress(), ends, 64, 64, Duration.ofSeconds(5));
+                connection.write(ByteBuffer.wrap(new byte[] {1}));
+                loop.run();
+                assertEquals(List.of(Ended.FAILED), ends.heard);
+                assertEquals(1, failures.size(), failures.toString());
+                loop.group().shutdownNow();
+            }
+        }
+    }
+
+    /** More buffers than one write takes, and more bytes than the system takes at once: all arrive, in order, said once. */
+    @Example
+    void whatTakesManyWritesArrivesWholeAndInOrder() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, HERE)) {
+            Loop loop = loop();
+            int[] written = new int[1];
+            Ends ends = new Ends(loop) {
+                @Override public void written() {
+                    written[0]++;
+                }
+            };
+            Connection connection = Connection.to(loop, server.getLocalSocketAddress(), ends, 64, 16 << 20, Duration.ofSeconds(5));
+            byte[] sent = new byte[12 << 20];
+            for (int i = 0; i < sent.length; i++) {
+                sent[i] = (byte) (i * 31 + i / 251);
+            }
+            loop.execute(() -> {
+                for (int at = 0; at < sent.length; at += 64 << 10) {
+                    connection.write(ByteBuffer.wrap(sent, at, 64 << 10));
+                }
+            });
+            byte[][] got = new byte[1][];
+            Thread peer = new Thread(() -> {
+                try (Socket socket = server.accept()) {
+                    got[0] = socket.getInputStream().readNBytes(sent.length);
+                } catch (IOException e) {
+                    failures.add(e);
+                }
+            });
+            peer.start();
+            loop.run();
+            peer.join();
+            assertTrue(Arrays.equals(sent, got[0]));
+            assertEquals(1, written[0]);
+            assertEquals(List.of(Ended.CLOSED_THERE), ends.heard);
+            assertEquals(List.of(), failures);
+            loop.group().shutdownNow();
+        }
+    }
+
+    /** Ended with a read and a write pending and a time limit set: one end is heard, and what fires later finds it over. */
+    @Example
+    void whatCompletesAfterTheEndChangesNothing() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, HERE)) {
+            Loop loop = loop();
+            List<Ended> heard = new ArrayList<>();
+            Connection[] made = new Connection[1];
+            made[0] = Connection.to(loop, server.getLocalSocketAddress(), new Connection.User() {
+                @Override public void made() {
+                    made[0].write(ByteBuffer.allocate(8 << 20));
+                    loop.in(Duration.ofMillis(20), () -> made[0].end(Ended.DONE));
+                    // Past the time limit of the dialling.
+                    loop.in(Duration.ofMillis(150), loop::stop);
+                }
+
+                @Override public void read(ByteBuffer in) {
+                    failures.add(new IllegalStateException("read after its end"));
+                }
+
+                @Override public void written() {
+                    failures.add(new IllegalStateException("written after its end"));
+                }
+
+                @Override public void ended(Ended how) {
+                    heard.add(how);
+                    made[0].write(ByteBuffer.wrap(new byte[] {1}));
+                    made[0].readAgain();
+                    made[0].writeNoMore();
+                    made[0].end(Ended.BROKEN);
+                }
+            }, 64, 16 << 20, Duration.ofMillis(100));
+            loop.run();
+            assertEquals(List.of(Ended.DONE), heard);
+            assertEquals(List.of(), failures);
+            loop.group().shutdownNow();
+        }
+    }
+
+    /** An error that is no handler's own ends the loop, and whoever runs it hears it: it never goes on half done. */
+    @Example
+    void anErrorThatIsNoHandlersOwnIsThrownOutOfTheLoop() throws Exception {
+        Loop loop = loop();
+        loop.execute(() -> {
+            throw new NoClassDefFoundError("on purpose");
+        });
+        assertThrows(NoClassDefFoundError.class, loop::run);
+        Loop deep = loop();
+        deep.execute(() -> descend(deep));
+        deep.execute(deep::stop);
+        deep.run();
+        assertEquals(1, failures.size());
+        assertTrue(failures.get(0) instanceof StackOverflowError);
+    }
+
+    private static int descend(Loop loop) {
+        return descend(loop) + 1;
+    }
+
+    /** Out of descriptors each accept fails at once: it is tried again after a pause, also where others end meanwhile. */
+    @Example
+    void aListenerThatCannotAcceptPauses() throws Exception {
+        // The clock stands still, so the pause does not end.
+        Loop loop = new Loop(new Clock(() -> 0, () -> 0), failures::add);
+        int[] asked = new int[1];
+        Listener listener = new Listener(loop, new InetSocketAddress(HERE, 0), 4, channel -> { }, () -> asked[0]++);
+        // A closed channel fails each accept, as a full table of descriptors does.
+        Field field = Listener.class.getDeclaredField("channel");
+        field.setAccessible(true);
+        ((AsynchronousServerSocketChannel) field.get(listener)).close();
+        int[] left = {2000};
+        loop.execute(new Runnable() {
+            @Override public void run() {
+                listener.accept();
+                if (--left[0] > 0) {
+                    loop.execute(this);
+                } else {
+                    loop.stop();
+                }
+            }
+        });
+        loop.run();
+        assertEquals(1, asked[0]);
+        assertEquals(List.of(), failures);
+        loop.group().shutdownNow();
+    }
+}
