Tests: idle clients under the system's own limit of 40 descriptors; resets and floods in each state

DescriptorsTest starts the program under ulimit -n 40 and leaves 50 clients there, of which a quarter each rest, say nothing, sent half a line or were refused and stay. The next check is answered, the agent's link comes back, a call and a report leave, nobody is reset. EdgeStatesTest: a reset in each state, a late verdict on health, thousands of requests at once, bodies without end, 100 Continue, a client that takes no answers.

--- /dev/null
+++ b/src/test/java/merlinlever/cli/DescriptorsTest.java
@@ -0,0 +1,97 @@
+package merlinlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** The whole program under the system's own limit of 40 descriptors, which idle and silent clients fill. */
+class DescriptorsTest extends ServedProcess {
+
+    private static final int CLIENTS = 50;
+    private final List<Socket> held = new ArrayList<>();
+
+    DescriptorsTest() throws IOException {
+    }
+
+    @Override Process start(String configuration) throws IOException {
+        Files.writeString(file, configuration);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 40 && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
+                "target/classes", "merlinlever.cli.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        program = builder.start();
+        return program;
+    }
+
+    /**
+     * Clients that ask once and rest, clients that say nothing, half messages and answered ones that stay: the next check
+     * and the next operation are answered, the agent's link comes back, calls and reports leave, and nobody is reset.
+     */
+    @Example
+    void fullOfClientsItStillReachesEveryParty() throws IOException {
+        startUp();
+        greet();
+        for (int i = 0; i < CLIENTS; i++) {
+            switch (i % 4) {
+                case 0 -> {
+                    held.add(ask("GET /status/live HTTP/1.1\r\n\r\n"));
+                    assertEquals(200, answer(held.get(i)).status());
+                }
+                case 1 -> held.add(ask(""));
+                case 2 -> held.add(ask("POST "));
+                default -> {
+                    held.add(ask("nonsense\r\n\r\n"));
+                    assertEquals(400, answer(held.get(i)).status());
+                }
+            }
+        }
+        long from = System.nanoTime();
+        assertEquals(200, answer(ask("GET /status/live HTTP/1.1\r\n\r\n")).status());
+        long took = (System.nanoTime() - from) / 1_000_000;
+        assertTrue(took < 3000, took + " ms");
+        // The link to the agent is made anew, a call leaves, and a report too.
+        agent.close();
+        link(0);
+        tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":70000}");
+        // Caught up, so that no launch is in doubt and sent twice.
+        Map<?, ?> sample;
+        do {
+            sample = hear("sample");
+            tell("{\"cmd\":\"sampled\",\"token\":\"" + sample.get("token") + "\",\"load\":[0]}");
+        } while (!("" + sample.get("token")).startsWith("up"));
+        Socket edge = ask(operation("look", "", "body"));
+        Map<?, ?> launch = hear("launch");
+        tell("{\"cmd\":\"request\",\"offset\":1,\"req\":\"" + launch.get("req") + "\",\"payload\":\"AQI=\"}");
+        record = records.accept();
+        assertTrue(recordsLine().startsWith("OP " + launch.get("req")));
+        record.getOutputStream().write((launch.get("req") + " DONE 1\r\na\r\n").getBytes(StandardCharsets.US_ASCII));
+        assertEquals("YQ==", hear("deliver").get("payload"));
+        outcome(2, launch, "OK", new byte[] {7});
+        assertArrayEquals(new byte[] {7}, answer(edge).body());
+        directory.receive(new DatagramPacket(new byte[100], 100));
+        try (var open = Files.list(Path.of("/proc/" + program.pid() + "/fd"))) {
+            long count = open.count();
+            assertTrue(count <= 40, count + " descriptors");
+        }
+        for (Socket each : held) {
+            // A good end, or still open: never a reset.
+            each.setSoTimeout(1);
+            try {
+                assertTrue(each.getInputStream().read() < 0);
+            } catch (java.net.SocketTimeoutException e) {
+                // It is open still.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/http/EdgeStatesTest.java
@@ -0,0 +1,171 @@
+package merlinlever.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import merlinlever.http.EdgeConnection.State;
+import net.jqwik.api.Example;
+
+/** Resets, late verdicts and floods that meet a connection in each of its states. */
+class EdgeStatesTest extends EdgeFixture {
+
+    EdgeStatesTest() throws IOException {
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    /** Reset in each state: nothing is left of it in any table, and its operation is stopped once. */
+    @Example
+    void aResetInEachStateLeavesNothingBehind() throws Exception {
+        listen(100);
+        List<Socket> all = new ArrayList<>();
+        all.add(connect());
+        await(State.NEW, 1);
+        all.add(ask(CHECK));
+        await(State.IDLE, 1);
+        all.add(ask(CHECK + "POST "));
+        await(State.RECEIVING, 1);
+        all.add(ask(operation("", "body")));
+        await(State.IN_HAND, 1);
+        all.add(ask("nonsense\r\n\r\n"));
+        await(State.LINGERING, 1);
+        // Answers that nobody takes: the system holds so much of them and no more.
+        Socket answering = connect();
+        all.add(answering);
+        Thread flood = new Thread(() -> {
+            try {
+                while (true) {
+                    write(answering, "GET /none HTTP/1.1\r\n\r\n".repeat(5000));
+                }
+            } catch (IOException e) {
+                // Reset, as it should be.
+            }
+        });
+        flood.start();
+        await(State.ANSWERING, 1);
+        assertEquals(6, edge.count());
+        for (Socket each : all) {
+            reset(each);
+        }
+        flood.join();
+        await(() -> edge.count() == 0, "some are left");
+        awaitAsked(2);
+        assertEquals(List.of("launch", "freeze"), asked.stream().map(word -> word.split(" ")[0]).toList());
+        // The run ends after its caller has gone: nobody is answered.
+        ends(asked.get(0), new byte[] {'7'});
+        on(() -> assertTrue(edge.allWritten() && edge.none()));
+    }
+
+    /** A verdict on health that comes after its asker has gone answers nobody else, not on any connection. */
+    @Example
+    void aLateVerdictAnswersOnlyWhoAskedForIt() throws Exception {
+        listen(100);
+        Socket gone = ask("GET /status/live?real=1 HTTP/1.1\r\n\r\n");
+        await(State.IN_HAND, 1);
+        reset(gone);
+        await(() -> edge.count() == 0, "it is still there");
+        Socket other = ask("GET /status/live?real=1 HTTP/1.1\r\n\r\n" + operation("", "body"));
+        await(State.IN_HAND, 1);
+        // The verdict answers the check; the operation behind it is read then, and a second verdict does not touch it.
+        on(() -> backend.exercised(true));
+        assertStatus(200, other);
+        awaitAsked(2);
+        on(() -> backend.exercised(false));
+        ends(asked.get(1), new byte[] {'7'});
+        String answer = answer(other);
+        assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("\r\n\r\n7"), answer);
+        assertEquals(List.of("exercise"), asked.subList(0, 1));
+    }
+
+    /** Thousands of requests at once on a connection: each has its answer, in order, and another client is not held up. */
+    @Example
+    void thousandsOfRequestsAtOnceAreAnsweredInOrder() throws Exception {
+        listen(100);
+        Socket many = connect();
+        Thread writer = new Thread(() -> {
+            try {
+                for (int i = 0; i < 2000; i++) {
+                    write(many, (i % 2 == 0 ? CHECK : "GET /none HTTP/1.1\r\n\r\n").repeat(1));
+                }
+            } catch (IOException e) {
+                failures.add(e);
+            }
+        });
+        writer.start();
+        assertStatus(200, ask(CHECK));
+        for (int i = 0; i < 2000; i++) {
+            assertStatus(i % 2 == 0 ? 200 : 404, many);
+        }
+        writer.join();
+    }
+
+    /** Bytes of a body that is too long are read and dropped for a bounded time, and its refusal arrives before. */
+    @Example
+    void aBodyWithoutEndIsRefusedAndCutOff() throws Exception {
+        listen(100);
+        for (String head : new String[] {"Content-Length: 60000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n",
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", "Content-Length: -1\r\n\r\n"}) {
+            Socket socket = ask("POST /svc/look HTTP/1.1\r\n" + head);
+            String answer = answer(socket);
+            assertTrue(answer.startsWith("HTTP/1.1 413 ") || answer.startsWith("HTTP/1.1 501 ")
+                    || answer.startsWith("HTTP/1.1 400 "), answer);
+            assertTrue(answer.contains("Connection: close\r\n"));
+            for (int i = 0; i < 20; i++) {
+                write(socket, operation("", "hidden"));
+            }
+            assertEnds(socket);
+            pass(1200);
+            assertEquals(0, edge.count());
+        }
+        assertEquals(List.of(), asked);
+    }
+
+    /** "100 Continue" is said once, before the answer and not within another one. */
+    @Example
+    void goOnIsSaidOnceAndBeforeItsOwnAnswer() throws Exception {
+        listen(100);
+        String operation = operation("Expect: 100-continue\r\n", "body");
+        int body = operation.length() - 4;
+        Socket socket = ask(CHECK + operation.substring(0, body));
+        assertStatus(200, socket);
+        assertStatus(100, socket);
+        write(socket, operation.substring(body, body + 2));
+        settle();
+        write(socket, operation.substring(body + 2) + CHECK);
+        awaitAsked(1);
+        ends(asked.get(0), new byte[] {'7'});
+        assertTrue(answer(socket).endsWith("\r\n\r\n7"));
+        assertStatus(200, socket);
+    }
+
+    /** A client that takes no answers is ended after 5 s, however long it goes on asking. */
+    @Example
+    void whoTakesNoAnswersIsEnded() throws Exception {
+        listen(100);
+        Socket socket = connect();
+        Thread flood = new Thread(() -> {
+            try {
+                while (true) {
+                    write(socket, "GET /none HTTP/1.1\r\n\r\n".repeat(5000));
+                }
+            } catch (IOException e) {
+                // Ended, as it should be.
+            }
+        });
+        flood.start();
+        // Before the system's buffers are full it is answering now and then; from then on it stays so.
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (flood.isAlive()) {
+            assertTrue(System.nanoTime() < until, "it is not ended");
+            pass(500);
+        }
+        await(() -> edge.count() == 0, "it is still there");
+    }
+}
