Agent's notices: a line or a number beyond all bounds no longer stops all later ones

A line of 64 KiB ended the link; the agent sends it again on the next one, which ended too, every 20 ms and for ever, and no later notice was read. At fault: Link.read. It is now passed over to its end (Lines.passOver); without an end the link is made anew after 3 s without answers, as before. If it had a number the next notice shows the gap, and the runs of that time are broken off: not kept better than that. A number of 1e300 became the largest there is, and every later notice an old one. At fault: Notice.read, which took any number. It takes whole ones from 0 on; a line with another is passed over like any that is no notice.

--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -61,8 +61,9 @@
                 lastHeard = loop.clock().now();
             }
             if (!lines.take(in, this::line)) {
-                log.warn("a line of the agent is too long");
-                connection.end(Ended.MALFORMED);
+                // On a new link it would come again.
+                log.warn("passed over a line of the agent that is too long");
+                lines.passOver(in);
             }
         }
 
--- a/src/main/java/merlinlever/agent/Lines.java
+++ b/src/main/java/merlinlever/agent/Lines.java
@@ -9,6 +9,7 @@
 
     private final int longest;
     private int seen;
+    private boolean passingOver;
 
     public Lines(int longest) {
         this.longest = longest;
@@ -21,11 +22,24 @@
         for (int at = start + seen; at < in.limit(); at++) {
             if (bytes[at] == '\n') {
                 in.position(at + 1);
-                taker.accept(new String(bytes, start, at - start, StandardCharsets.UTF_8));
+                if (!passingOver) {
+                    taker.accept(new String(bytes, start, at - start, StandardCharsets.UTF_8));
+                }
+                passingOver = false;
                 start = at + 1;
             }
         }
+        if (passingOver) {
+            in.position(in.limit());
+        }
         seen = in.remaining();
         return seen < longest;
     }
+
+    /** Of the line that is not whole, what came and what will still come is not handed over. */
+    public void passOver(ByteBuffer in) {
+        passingOver = true;
+        in.position(in.limit());
+        seen = 0;
+    }
 }
--- a/src/main/java/merlinlever/agent/Notice.java
+++ b/src/main/java/merlinlever/agent/Notice.java
@@ -24,7 +24,7 @@
             String text = string(object, "result");
             String id = string(object, "req");
             String payload = string(object, "payload");
-            return new Notice(string(object, "cmd"), (long) number(object, "offset"),
+            return new Notice(string(object, "cmd"), offset(object),
                     id == null ? 0 : Long.parseUnsignedLong(id, 16), text, ending(text), number(object, "elapsed_ms"),
                     payload == null ? new byte[0] : Base64.getDecoder().decode(payload), string(object, "token"),
                     row(object.get("load")));
@@ -41,6 +41,15 @@
         return (String) value;
     }
 
+    /** One that is no number of a notice would be the last that is ever read: all others lie below it. */
+    private static long offset(Map<?, ?> object) {
+        Object value = object.get("offset");
+        if (value != null && !(value instanceof Long number && number >= 0)) {
+            throw new IllegalArgumentException("offset is no number of a notice");
+        }
+        return value == null ? 0 : (Long) value;
+    }
+
     private static double number(Map<?, ?> object, String name) {
         Object value = object.get(name);
         if (value != null && !(value instanceof Number)) {
