Agent link: how long it stood is told by answered questions, so a stall hides no lost reply

At fault: lastHeard in Link.read. It stood when a question that has its answer was asked (the agent takes its commands in order); "stood" is that time, and the making of the link until then. - A link lost while the retry of another was under way armed a second retry and forgot the first (again()). After a move the first made one more link beside the one that waited for its greeting, whose greeting then was nobody's. - Checks that a slow greeting left unanswered were counted on against the first question behind it, and the new link was ended 0.5 s later (greeted() did not begin anew). - Any answer counted for the open question, and gauges below 0 or without bound were passed on. Now its token has to be the question's, and what is out of range is passed over.

--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Base64;
 import merlinlever.Ending;
 import merlinlever.core.Backend;
@@ -38,13 +39,21 @@
     private Link coming;
     private Loop.Timer retry;
     private Duration pause = FIRST_PAUSE;
-    private boolean sampling;
     private long lastRead, tokens;
-    private String exercise, caughtUp;
+    /** What is asked on the link in use and not answered yet, or null: for the gauges, and whether all notices are read. */
+    private Question gauges, caughtUp;
+    private String exercise;
     private Loop.Timer exerciseLimit;
-    private Duration lastHeard = Duration.ZERO;
+    /** The link in use stood then, and took what had been sent before: a question that was asked then has its answer. */
+    private Duration stood = Duration.ZERO;
     private int unanswered;
 
+    private record Question(String token, Duration at) {
+        boolean answeredBy(Notice notice) {
+            return token.equals(notice.token());
+        }
+    }
+
     /** One connection; what comes on one that is neither in use nor coming is passed over. */
     private final class Link implements Connection.User {
         private final Lines lines = new Lines(LONGEST_LINE);
@@ -57,9 +66,6 @@
         }
 
         @Override public void read(ByteBuffer in) {
-            if (this == link) {
-                lastHeard = loop.clock().now();
-            }
             if (!lines.take(in, this::line)) {
                 // On a new link it would come again.
                 log.warn("passed over a line of the agent that is too long");
@@ -77,7 +83,7 @@
             if (this == link) {
                 log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
                 link = null;
-                backend.linkLost(lastHeard);
+                backend.linkLost(stood);
             } else if (this == coming) {
                 coming = null;
             } else {
@@ -123,7 +129,7 @@
     /** A link on which questions stay unanswered for so many checks is made anew; a stall of ours is one check. */
     private void checkThatItAnswers() {
         // Before it is up the agent may take as long for its greeting as it likes.
-        boolean waits = coming != null ? backend.started() : link != null && sampling;
+        boolean waits = coming != null ? backend.started() : link != null && gauges != null;
         unanswered = waits ? unanswered + 1 : 0;
         if (unanswered >= CHECKS) {
             unanswered = 0;
@@ -148,6 +154,10 @@
     }
 
     private void again() {
+        if (retry != null) {
+            // A link can be lost while one to take its place is about to be made.
+            retry.callOff();
+        }
         retry = loop.in(pause, this::connect);
         pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
     }
@@ -205,25 +215,25 @@
         Link before = link;
         link = coming;
         coming = null;
-        sampling = false;
+        gauges = null;
+        unanswered = 0;
         pause = FIRST_PAUSE;
         if (before != null) {
             // It was replaced at some time after the new one had been made.
-            backend.linkLost(lastHeard.compareTo(link.madeAt) < 0 ? lastHeard : link.madeAt);
+            backend.linkLost(stood.compareTo(link.madeAt) < 0 ? stood : link.madeAt);
             before.connection.end(Ended.DONE);
         }
-        lastHeard = loop.clock().now();
+        stood = link.madeAt;
         if (!backend.started()) {
             loop.clock().startWas(Duration.ofNanos((long) (notice.elapsedMs() * 1e6)));
-            lastHeard = loop.clock().now();
+            stood = loop.clock().now();
             log.info("the agent is up: " + notice.text() + ", started " + notice.elapsedMs() + " ms ago");
             backend.started(loop.clock().now(), "COLD".equals(notice.text()));
             return;
         }
         log.info("link to the agent is back");
         backend.linkBack(loop.clock().now());
-        caughtUp = "up" + tokens++;
-        link.send("{\"cmd\":\"sample\",\"token\":\"" + caughtUp + "\"}\n");
+        caughtUp = ask("up");
         if (exercise != null) {
             askToExercise();
         }
@@ -243,16 +253,30 @@
     }
 
     private void sampled(Notice notice) {
-        if (notice.token() != null && notice.token().equals(caughtUp)) {
+        if (caughtUp != null && caughtUp.answeredBy(notice)) {
+            stood = caughtUp.at;
             caughtUp = null;
             backend.caughtUp(loop.clock().now());
-        } else {
-            sampling = false;
+        } else if (gauges != null && gauges.answeredBy(notice)) {
+            stood = gauges.at;
+            gauges = null;
             unanswered = 0;
-            backend.gauges(loop.clock().now(), notice.row());
+            if (Arrays.stream(notice.row()).allMatch(gauge -> gauge >= 0 && gauge <= Double.MAX_VALUE)) {
+                backend.gauges(loop.clock().now(), notice.row());
+            } else {
+                log.warn("passed over gauges that are out of range");
+            }
+        } else {
+            log.warn("passed over gauges that were not asked for");
         }
     }
 
+    private Question ask(String kind) {
+        Question question = new Question(kind + tokens++, loop.clock().now());
+        link.send("{\"cmd\":\"sample\",\"token\":\"" + question.token + "\"}\n");
+        return question;
+    }
+
     private void exerciseOver() {
         exercise = null;
         if (exerciseLimit != null) {
@@ -291,10 +315,9 @@
 
     /** One at a time. */
     public boolean sample() {
-        boolean asks = link != null && !sampling;
+        boolean asks = link != null && gauges == null;
         if (asks) {
-            sampling = true;
-            link.send("{\"cmd\":\"sample\",\"token\":\"s" + tokens++ + "\"}\n");
+            gauges = ask("s");
         }
         return asks;
     }
--- /dev/null
+++ b/src/test/java/merlinlever/agent/LinkOrdersTest.java
@@ -0,0 +1,195 @@
+package merlinlever.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import merlinlever.agent.LinkedBackend.Agent;
+import merlinlever.net.Connection;
+import merlinlever.net.DrivenLoop;
+import merlinlever.net.Ended;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Two links to the agent and what comes on both, in many orders, and in the one that only one batch can make. */
+class LinkOrdersTest {
+
+    /** What the agent has to tell, by number, and one link that tells it, in pieces and some of it twice. */
+    private static final class Teller {
+        private final LinkedBackend around;
+        private final List<String> notices;
+        private final Agent agent;
+        private String rest = "";
+        private int next;
+
+        Teller(LinkedBackend around, List<String> notices, Agent agent) {
+            this.around = around;
+            this.notices = notices;
+            this.agent = agent;
+            next = (int) agent.after;
+        }
+
+        boolean tell(Random chance) throws IOException {
+            if (!rest.isEmpty()) {
+                agent.tell(rest);
+                rest = "";
+            } else if (next < notices.size()) {
+                String line = notices.get(chance.nextInt(4) == 0 && next > 0 ? next - 1 : next++);
+                int cut = chance.nextInt(3) == 0 ? 1 + chance.nextInt(line.length() - 1) : line.length();
+                rest = line.substring(cut);
+                agent.write(line.substring(0, cut));
+                if (rest.isEmpty()) {
+                    agent.write("\n");
+                }
+            } else {
+                return false;
+            }
+            return true;
+        }
+
+        /** The order is forced where a line is whole. */
+        void read() throws IOException {
+            if (rest.isEmpty()) {
+                agent.read();
+            }
+        }
+    }
+
+    /**
+     * The old link delivers, whole and half notices, until the new one is greeted; the new one may deliver before its
+     * greeting: every notice counts once, none is held for missed, and what is launched again is launched once.
+     */
+    @Property(tries = 40, seed = "36")
+    void noticesOnTwoLinksCountOnceInWhateverOrder(@ForAll long seed) throws IOException {
+        Random chance = new Random(seed);
+        try (ServerSocket first = new ServerSocket(0, 50, LinkedBackend.HERE);
+                LinkedBackend around = new LinkedBackend(new DrivenLoop(), LinkedBackend.at(first))) {
+            first.setSoTimeout(DrivenLoop.PATIENCE_MS);
+            Agent agent = around.up(first);
+            List<String> names = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                names.add(around.take());
+            }
+            List<String> notices = new ArrayList<>();
+            List<String> ends = new ArrayList<>(names);
+            Collections.shuffle(ends, chance);
+            for (String name : ends) {
+                while (chance.nextBoolean()) {
+                    notices.add("{\"cmd\":\"aside\",\"offset\":" + (notices.size() + 1) + ",\"result\":\"\"}");
+                }
+                notices.add(LinkedBackend.outcome(notices.size() + 1, name, "OK", "of " + name));
+            }
+            Teller old = new Teller(around, notices, agent);
+            for (int i = chance.nextInt(notices.size()); i > 0; i--) {
+                old.tell(chance);
+                old.read();
+            }
+            ServerSocket second = around.place();
+            around.moveTo(second);
+            Teller teller = new Teller(around, notices, around.accept(second));
+            boolean broken = chance.nextInt(3) == 0;
+            for (int i = chance.nextInt(12); i > 0; i--) {
+                Teller either = chance.nextBoolean() ? old : teller;
+                either.tell(chance);
+                either.read();
+            }
+            if (broken) {
+                around.breaks(old.agent);
+            }
+            if (!teller.rest.isEmpty()) {
+                teller.tell(chance);
+            }
+            around.takesOver(teller.agent);
+            while (teller.tell(chance)) {
+                // All is told, in pieces that the loop may find in whatever portions.
+            }
+            for (String name : names) {
+                around.answered(name, "satisfied of " + name);
+            }
+            assertTrue(driven(around).stream().noneMatch(line -> line.contains("missed") || line.contains("passed over")),
+                    "" + around.logged);
+            String last = around.take();
+            Set<String> launched = new HashSet<>();
+            Map<?, ?> command = teller.agent.next();
+            while (!last.equals(command.get("req"))) {
+                assertTrue(!command.get("cmd").equals("launch") || launched.add("" + command.get("req")), "" + command);
+                command = teller.agent.next();
+            }
+        }
+    }
+
+    private static List<String> driven(LinkedBackend around) {
+        return around.driven.on(() -> List.copyOf(around.logged));
+    }
+
+    /** The agent in memory. */
+    private static final class Party implements Connection.Party {
+        private final StringBuilder heard = new StringBuilder();
+        private Connection mine;
+
+        @Override public void on(Connection connection) {
+            mine = connection;
+        }
+
+        @Override public void read(ByteBuffer in) {
+            while (in.hasRemaining()) {
+                heard.append((char) in.get());
+            }
+        }
+
+        @Override public void ended(Ended how) {
+        }
+
+        void say(String line) {
+            mine.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    /**
+     * A reply is queued on the old link, and in the same batch, before anything is written, the new link is greeted: the
+     * reply goes with the old link, and over the new one, though the clock shows one instant for both.
+     */
+    @Example
+    void aReplyThatIsQueuedAsItsLinkIsReplacedIsSentOnTheNewOne() throws IOException {
+        List<Party> parties = new ArrayList<>();
+        DrivenLoop driven = new DrivenLoop(address -> {
+            parties.add(new Party());
+            return parties.get(parties.size() - 1);
+        });
+        try (LinkedBackend around = new LinkedBackend(driven, new InetSocketAddress(1))) {
+            driven.run(() -> parties.get(0).say("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":60000}"));
+            driven.until(around.backend::healthy, "good health");
+            String name = around.take();
+            driven.run(() -> parties.get(0).say(LinkedBackend.request(1, name)));
+            driven.until(() -> !around.calls.isEmpty(), "the call");
+            driven.run(() -> around.link.moveTo(new InetSocketAddress(2)));
+            driven.batches(3);
+            driven.run(() -> {
+                parties.get(1).say("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":60000}");
+                // Ready before the greeting is, and run in the same batch.
+                around.afterBatch = () -> driven.loop.execute(() -> around.replyNow(name, "b"));
+            });
+            driven.until(() -> parties.get(1).heard.indexOf("\"up") > 0, "the question whether all is read");
+            String heard = driven.on(() -> parties.get(1).heard.toString());
+            assertFalse(heard.contains("deliver") || driven.on(() -> parties.get(0).heard.toString()).contains("deliver"));
+            String token = heard.substring(heard.indexOf("\"up") + 1, heard.indexOf('"', heard.indexOf("\"up") + 1));
+            driven.run(() -> parties.get(1).say("{\"cmd\":\"sampled\",\"token\":\"" + token + "\",\"load\":[0]}"));
+            driven.batches(4);
+            String all = driven.on(() -> parties.get(1).heard.toString());
+            assertEquals(2, all.split("deliver").length, all);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/merlinlever/agent/LinkedBackend.java
@@ -0,0 +1,340 @@
+package merlinlever.agent;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import merlinlever.Ending;
+import merlinlever.core.Backend;
+import merlinlever.core.Caller;
+import merlinlever.core.Calls;
+import merlinlever.core.Outside;
+import merlinlever.core.Work;
+import merlinlever.json.Json;
+import merlinlever.log.Log;
+import merlinlever.net.DrivenLoop;
+import merlinlever.net.Loop;
+
+/** A real backend with its real link to an agent that the test plays; what lies below and the callers are lists. */
+final class LinkedBackend implements Outside, Calls, AutoCloseable {
+
+    static final InetAddress HERE = InetAddress.getLoopbackAddress();
+    private static final Map<String, String> GIVEN = Map.ofEntries(
+            Map.entry("server.cores", "64"), Map.entry("server.memory-kb", "200000"),
+            Map.entry("server.run-factor", "4"), Map.entry("server.gauges", "run-queue"),
+            Map.entry("server.halt", "drop"), Map.entry("server.calls-by-tariff", "true"),
+            Map.entry("rules.crowd-factor", "8"), Map.entry("rules.drain-grace", "500"),
+            Map.entry("tariffs.0.name", "look"), Map.entry("tariffs.0.kind", "retriable"),
+            Map.entry("tariffs.0.soft-limit", "50000"), Map.entry("tariffs.0.client-timeout", "100000"));
+
+    final DrivenLoop driven;
+    final Backend backend;
+    final AgentLink link;
+    /** What it has logged, line by line. */
+    final List<String> logged = Collections.synchronizedList(new ArrayList<>());
+    final Map<String, List<String>> answers = new HashMap<>();
+    final Map<String, Work> taken = new HashMap<>();
+    final List<String> calls = Collections.synchronizedList(new ArrayList<>());
+    /** Runs once after a batch, before what was written in it leaves. */
+    Runnable afterBatch;
+    private final List<ServerSocket> places = new ArrayList<>();
+    private Loop.Timer alarm;
+    private long ids = 0x9b1f03aa5c7e2d41L, seconds;
+
+    /** The agent's end of one link. */
+    final class Agent {
+        final Socket socket;
+        private final BufferedReader in;
+        /** What had been read when the link was made. */
+        long after;
+
+        private Agent(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(DrivenLoop.PATIENCE_MS);
+            socket.setTcpNoDelay(true);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        }
+
+        /** The next command, whatever it is; null where the link was closed. */
+        Map<?, ?> next() throws IOException {
+            String line = in.readLine();
+            try {
+                return line == null ? null : Json.object(line);
+            } catch (Json.Malformed e) {
+                throw new IOException(e);
+            }
+        }
+
+        /** The next command of the word; questions for the gauges between are answered. */
+        Map<?, ?> hear(String word) throws IOException {
+            for (Map<?, ?> next = next(); next != null; next = next()) {
+                if (next.get("cmd").equals(word)) {
+                    return next;
+                }
+                if (next.get("cmd").equals("sample")) {
+                    sampled(next.get("token"), "[0]");
+                }
+            }
+            throw new IOException("the link was closed");
+        }
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void tell(String line) throws IOException {
+            write(line + "\n");
+        }
+
+        void greet() throws IOException {
+            tell("{\"cmd\":\"greeting\",\"result\":\"WARM\",\"elapsed_ms\":60000}");
+        }
+
+        void sampled(Object token, String load) throws IOException {
+            tell("{\"cmd\":\"sampled\",\"token\":\"" + token + "\",\"load\":" + load + "}");
+        }
+
+        void outcome(long offset, String name, String result, String bytes) throws IOException {
+            tell(LinkedBackend.outcome(offset, name, result, bytes));
+        }
+
+        void request(long offset, String name) throws IOException {
+            tell(LinkedBackend.request(offset, name));
+        }
+
+        /** All that was told before has been read. */
+        void read() throws IOException {
+            String mark = "mark" + seconds++;
+            tell("{\"cmd\":\"" + mark + "\"}");
+            driven.until(() -> logged.stream().anyMatch(line -> line.endsWith(mark)), mark);
+        }
+    }
+
+    static String outcome(long offset, String name, String result, String bytes) {
+        return "{\"cmd\":\"outcome\",\"offset\":" + offset + ",\"req\":\"" + name + "\",\"result\":\"" + result
+                + "\",\"elapsed_ms\":3.5,\"payload\":\"" + Base64.getEncoder().encodeToString(bytes.getBytes(StandardCharsets.UTF_8)) + "\"}";
+    }
+
+    static String request(long offset, String name) {
+        return "{\"cmd\":\"request\",\"offset\":" + offset + ",\"req\":\"" + name + "\",\"payload\":\"AQI=\"}";
+    }
+
+    LinkedBackend(DrivenLoop driven, InetSocketAddress address) {
+        this.driven = driven;
+        OutputStream lines = new OutputStream() {
+            private final StringBuilder line = new StringBuilder();
+
+            @Override public void write(int next) {
+                if (next == '\n') {
+                    logged.add(line.toString());
+                    line.setLength(0);
+                } else {
+                    line.append((char) next);
+                }
+            }
+        };
+        // Each line in a second of its own, so that none is left out.
+        Log log = new Log(new PrintStream(lines), () -> Instant.ofEpochSecond(++seconds));
+        backend = new Backend(GIVEN, 5, this);
+        link = new AgentLink(driven.loop, address, backend, log);
+        driven.run(() -> {
+            driven.loop.after(() -> {
+                backend.settle(driven.loop.clock().now());
+                Runnable once = afterBatch;
+                afterBatch = null;
+                if (once != null) {
+                    once.run();
+                }
+            });
+            link.start();
+        });
+    }
+
+    /** Where the agent is to be reached. */
+    ServerSocket place() throws IOException {
+        ServerSocket place = new ServerSocket(0, 50, HERE);
+        place.setSoTimeout(DrivenLoop.PATIENCE_MS);
+        places.add(place);
+        return place;
+    }
+
+    static InetSocketAddress at(ServerSocket place) {
+        return new InetSocketAddress(HERE, place.getLocalPort());
+    }
+
+    void moveTo(ServerSocket place) {
+        driven.run(() -> link.moveTo(at(place)));
+    }
+
+    /** The next link at the place. */
+    Agent accept(ServerSocket place) throws IOException {
+        Agent agent = new Agent(place.accept());
+        Map<?, ?> subscribe = agent.next();
+        if (!subscribe.get("cmd").equals("subscribe")) {
+            throw new IOException("not a subscription: " + subscribe);
+        }
+        agent.after = (Long) subscribe.get("offset");
+        return agent;
+    }
+
+    /** The next link at the place, which says so much has been read. */
+    Agent accept(ServerSocket place, long offset) throws IOException {
+        Agent agent = accept(place);
+        if (agent.after != offset) {
+            throw new IOException("a subscription after " + agent.after + ", not " + offset);
+        }
+        return agent;
+    }
+
+    /** Backend and agent are up. */
+    Agent up(ServerSocket place) throws IOException {
+        Agent agent = accept(place, 0);
+        agent.greet();
+        driven.until(backend::healthy, "good health");
+        return agent;
+    }
+
+    /** The link breaks, and that has been seen. */
+    void breaks(Agent agent) throws IOException {
+        long before = driven.on(this::losses);
+        agent.socket.close();
+        driven.until(() -> losses() > before, "the loss of the link");
+    }
+
+    private long losses() {
+        return logged.stream().filter(line -> line.contains("link to the agent lost")).count();
+    }
+
+    /** The new link takes over, and all notices are read. */
+    void takesOver(Agent agent) throws IOException {
+        agent.greet();
+        Map<?, ?> question = agent.next();
+        while (!question.get("token").toString().startsWith("up")) {
+            question = agent.next();
+        }
+        agent.sampled(question.get("token"), "[0]");
+    }
+
+    /** An operation has been read, and what follows from that has been decided: no outcome comes before its launch. */
+    String take() {
+        String taken = driven.on(this::takeNow);
+        driven.batches(2);
+        return taken;
+    }
+
+    private String takeNow() {
+        String name = String.format("%016x", ++ids);
+        List<String> heard = Collections.synchronizedList(new ArrayList<>());
+        answers.put(name, heard);
+        Caller caller = new Caller() {
+            @Override public void satisfied(byte[] result) {
+                heard.add("satisfied " + new String(result, StandardCharsets.UTF_8));
+            }
+
+            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
+                heard.add("pushed back");
+            }
+
+            @Override public void brokenOff() {
+                heard.add("broken off");
+            }
+        };
+        Duration now = driven.loop.clock().now();
+        taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, 0, "look", now, now.plusSeconds(100), 10, null,
+                false, null, null, name.getBytes(StandardCharsets.UTF_8)), caller));
+        return name;
+    }
+
+    void gone(String name) {
+        driven.run(() -> backend.callerGone(driven.loop.clock().now(), taken.get(name)));
+    }
+
+    /** Has been answered, once, with that. */
+    void answered(String name, String answer) {
+        driven.until(() -> !answers.get(name).isEmpty(), "the answer of " + name);
+        org.junit.jupiter.api.Assertions.assertEquals(List.of(answer), answers.get(name), name);
+    }
+
+    void reply(String name, String bytes) {
+        driven.run(() -> replyNow(name, bytes));
+    }
+
+    void replyNow(String name, String bytes) {
+        backend.callEnded(driven.loop.clock().now(), Long.parseUnsignedLong(name, 16), Ending.OK, bytes.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void check(Consumer<Boolean> asker) {
+        driven.run(() -> backend.checkDeeply(asker));
+    }
+
+    @Override public void close() throws IOException {
+        for (ServerSocket place : places) {
+            place.close();
+        }
+        driven.close();
+    }
+
+    @Override public void launch(Work work) {
+        link.launch(work);
+    }
+
+    @Override public void freeze(Work work) {
+        link.freeze(work);
+    }
+
+    @Override public void deliver(Work work, byte[] reply) {
+        link.deliver(work, reply);
+    }
+
+    @Override public void forgo(Work work) {
+        link.forgo(work);
+    }
+
+    @Override public boolean sample() {
+        return link.sample();
+    }
+
+    @Override public void exercise() {
+        link.exercise();
+    }
+
+    @Override public Calls calls() {
+        return this;
+    }
+
+    @Override public void call(Work operation, byte[] body, Duration within) {
+        calls.add("call " + operation.name());
+    }
+
+    @Override public void giveUp(Work operation) {
+        calls.add("give up " + operation.name());
+    }
+
+    @Override public void closeIdle(Duration after) {
+    }
+
+    @Override public void alarm(Duration at) {
+        if (alarm != null) {
+            alarm.callOff();
+        }
+        alarm = driven.loop.in(at.minus(driven.loop.clock().now()), () -> backend.alarmed(driven.loop.clock().now()));
+    }
+
+    @Override public void log(String line) {
+    }
+}
