Drain: at the last moment resting connections are half-closed and read on, then the process ends

Seen by reading: Serve.endWhenAnswered stopped the loop at the last moment with connections open, so the process ended over whatever was unread; that is a reset, and takes answers with it that the client has not read. EdgeNodes.shutResting half-closes what rests and reads on; Serve calls it 150 ms before the stop and ends 60 ms later, or at once when nobody is connected any more.

--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -25,6 +25,8 @@
     private static final Duration COMPARE = Duration.ofSeconds(1);
     /** What is answered at the last moment has this long to leave before the stop. */
     private static final Duration LAST_WRITES = Duration.ofMillis(150);
+    /** What crosses the end is read for so long; less than that before the stop. */
+    private static final Duration CROSSING = Duration.ofMillis(60);
     /** The signal may take so long to get to the loop; the grace counts from the signal. */
     private static final Duration SIGNAL = Duration.ofMillis(100);
     /** So many descriptors, one part of them, are for calls in hand. */
@@ -62,6 +64,7 @@
     private final String rehearsed;
     /** The next reading of a configuration that could not be used, or null. */
     private Loop.Timer readingAgain;
+    private boolean shutResting, ended;
 
     /** All but the listening, so that nobody is taken in before it is known who hears of the notice to leave. */
     private Serve(Map<String, String> environment, Log log, long began) throws Unusable {
@@ -230,13 +233,30 @@
 
     /** Not before the last moment while a connection is open: what is written to it as it ends here would be lost. */
     private void endWhenAnswered(Duration last) {
-        if (backend.inHand() == 0 && edge.allWritten() && (edge.none() || clock.uptime().compareTo(last) >= 0)) {
-            Map<String, Long> watched = backend.watched();
-            if (!watched.isEmpty()) {
-                log.info("watch: the watched settings would have decided otherwise " + watched);
-            }
-            log.info("all is answered");
-            loop.stop();
+        if (backend.inHand() > 0 || !edge.allWritten()) {
+            return;
+        }
+        if (edge.none()) {
+            end();
+        } else if (!shutResting && clock.uptime().compareTo(last) >= 0) {
+            // An end of the process over unread bytes would be a reset, and take unread answers with it.
+            shutResting = true;
+            log.info("the stop is near: resting connections are half-closed and read on");
+            edge.shutResting();
+            loop.in(CROSSING, this::end);
+        }
+    }
+
+    private void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        Map<String, Long> watched = backend.watched();
+        if (!watched.isEmpty()) {
+            log.info("watch: the watched settings would have decided otherwise " + watched);
         }
+        log.info("all is answered");
+        loop.stop();
     }
 }
