--- a/src/test/java/merlinlever/MechanismTest.java
+++ b/src/test/java/merlinlever/MechanismTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Supplier;
 import net.jqwik.api.Example;
 
 /** The mechanism of the design page, with figures worked by hand. */
@@ -14,9 +15,13 @@
 
     /** Fills the hold behind full cores and returns how many of the arrivals of a tariff were refused. */
     private double refused(int tariff, boolean again, int waiting, int arrivals) {
+        return refused(tariff, again, waiting, arrivals, Server::new);
+    }
+
+    private double refused(int tariff, boolean again, int waiting, int arrivals, Supplier<Server> made) {
         int count = 0;
         for (int i = 0; i < arrivals; i++) {
-            Server one = new Server();
+            Server one = made.get();
             one.seed = i;
             one.warmedUp(10, 200).full();
             for (int held = 0; held < waiting; held++) {
@@ -50,6 +55,20 @@
         assertTrue(chargesAgain > 1.5 * charges, "four times as often as a further try: " + chargesAgain);
     }
 
+    /** A class that is worth nothing must not switch the refusals of all classes off. */
+    @Example
+    void aTariffWithoutValueIsRefusedFirstAndTheOthersByTheirValue() {
+        Supplier<Server> made = () -> {
+            Server one = new Server();
+            one.with("tariffs." + Server.LOOKUP + ".value", 0);
+            return one;
+        };
+        double lookups = refused(Server.LOOKUP, false, 20, 400, made);
+        double charges = refused(Server.CHARGE, false, 20, 400, made);
+        assertTrue(lookups > 0.2, "coefficient 5: " + lookups);
+        assertTrue(charges > 0 && charges < 0.1, "coefficient 0.1: " + charges);
+    }
+
     @Example
     void whatFreeCoresTakeAtOnceDoesNotCountAsWaiting() {
         server.with("server.cores", 2);
