--- a/src/main/java/merlinlever/policy/Admission.java
+++ b/src/main/java/merlinlever/policy/Admission.java
@@ -14,8 +14,8 @@
     private static final double MIN_TH = 0.3;
     private static final double MAX_TH = 0.8;
     private static final double MAX_P = 0.4;
-    // Coefficients of the least and the most valued tariff.
-    private static final double C_LEAST = 5.0, C_MOST = 0.1;
+    // Coefficients of the least and the most valued tariff; what is worth nothing counts as of this value.
+    private static final double C_LEAST = 5.0, C_MOST = 0.1, NIL = 0.001;
     // A marked further try has less of its soft limit left than it says, and others were full as well.
     private static final double AGAIN = 4;
     // Reading takes more than this part of an operation's work: each further try costs the others that.
@@ -36,10 +36,10 @@
         chance = new SplittableRandom(seed);
         longestStayAway = given.flag("limits.stay-away")
                 ? given.span("limits.longest-stay-away", 0) : Duration.ZERO;
-        double least = server.tariffs.stream().mapToDouble(t -> t.value).min().orElse(1);
+        double least = Math.max(NIL, server.tariffs.stream().mapToDouble(t -> t.value).min().orElse(1));
         double most = server.tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
         for (Tariff t : server.tariffs) {
-            double rank = most > least ? Math.log(t.value / least) / Math.log(most / least) : 0.5;
+            double rank = most > least ? Math.log(Math.max(1, t.value / least)) / Math.log(most / least) : 0.5;
             t.coefficient = C_LEAST * Math.pow(C_MOST / C_LEAST, rank);
         }
     }
--- a/src/main/java/merlinlever/policy/Tariff.java
+++ b/src/main/java/merlinlever/policy/Tariff.java
@@ -12,9 +12,6 @@
     final Duration softLimit, clientTimeout, window;
     final double stretch, value, lateValue, withoutCall;
     final boolean calls;
-    /** What is worth nothing has a place among the others still: coefficients go by the logarithm. */
-    private static final double LEAST_VALUE = 0.001;
-
     final RunTimes times = new RunTimes();
     /** Its weight in the chance of refusal. */
     double coefficient = 1;
@@ -26,7 +23,7 @@
         clientTimeout = given.span(at + "client-timeout", 2000);
         window = given.span(at + "window", 10000);
         stretch = given.number(at + "soft-limit-stretch", 0);
-        value = Math.max(LEAST_VALUE, given.number(at + "value", 1));
+        value = given.number(at + "value", 1);
         lateValue = given.number(at + "late-value", 0);
         withoutCall = Double.parseDouble(given.nth("server.value-without-call", index, "0"));
         calls = Boolean.parseBoolean(given.nth("server.calls-by-tariff", index, "true"));
