Test: a real process whose accepts fail for want of descriptors still answers every check

DescriptorsTest under ulimit -n 22, with room for 16 connections by the configuration: accepting fails before the table is full, 50 clients that rest are all answered, nobody is reset.

--- a/src/test/java/merlinlever/cli/DescriptorsTest.java
+++ b/src/test/java/merlinlever/cli/DescriptorsTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,18 +16,19 @@
 import java.util.Map;
 import net.jqwik.api.Example;
 
-/** The whole program under the system's own limit of 40 descriptors, which idle and silent clients fill. */
+/** The whole program under the system's own limit of descriptors, which idle and silent clients fill. */
 class DescriptorsTest extends ServedProcess {
 
     private static final int CLIENTS = 50;
     private final List<Socket> held = new ArrayList<>();
+    private int limit = 40;
 
     DescriptorsTest() throws IOException {
     }
 
     @Override Process start(String configuration) throws IOException {
         Files.writeString(file, configuration);
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 40 && exec \"$0\" \"$@\"",
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + limit + " && exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
                 "target/classes", "merlinlever.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
@@ -89,7 +91,31 @@
             each.setSoTimeout(1);
             try {
                 assertTrue(each.getInputStream().read() < 0);
-            } catch (java.net.SocketTimeoutException e) {
+            } catch (SocketTimeoutException e) {
+                // It is open still.
+            }
+        }
+    }
+
+    /** Accepting fails before the table is full, as the system gives out fewer: those that rest make room, none is reset. */
+    @Example
+    void acceptingThatFailsMakesRoom() throws IOException {
+        limit = 22;
+        startUp();
+        greet();
+        for (int i = 0; i < CLIENTS; i++) {
+            held.add(ask("GET /status/live HTTP/1.1\r\n\r\n"));
+            assertEquals(200, answer(held.get(i)).status());
+        }
+        try (var open = Files.list(Path.of("/proc/" + program.pid() + "/fd"))) {
+            long count = open.count();
+            assertTrue(count >= limit - 4, "only " + count + " descriptors: accepting has not failed");
+        }
+        for (Socket each : held) {
+            each.setSoTimeout(1);
+            try {
+                assertTrue(each.getInputStream().read() < 0);
+            } catch (SocketTimeoutException e) {
                 // It is open still.
             }
         }
