--- a/src/main/java/merlinlever/policy/Admission.java
+++ b/src/main/java/merlinlever/policy/Admission.java
@@ -37,9 +37,9 @@
         longestStayAway = given.flag("limits.stay-away")
                 ? given.span("limits.longest-stay-away", 0) : Duration.ZERO;
         double least = Math.max(NIL, server.tariffs.stream().mapToDouble(t -> t.value).min().orElse(1));
-        double most = server.tariffs.stream().mapToDouble(t -> t.value).max().orElse(1);
+        double span = Math.log(server.tariffs.stream().mapToDouble(t -> t.value).max().orElse(1) / least);
         for (Tariff t : server.tariffs) {
-            double rank = most > least ? Math.log(Math.max(1, t.value / least)) / Math.log(most / least) : 0.5;
+            double rank = span > 0 ? Math.log(Math.max(1, t.value / least)) / span : 0.5;
             t.coefficient = C_LEAST * Math.pow(C_MOST / C_LEAST, rank);
         }
     }
