--- a/src/main/java/merlinlever/cli/zone/ZoneServer.java
+++ b/src/main/java/merlinlever/cli/zone/ZoneServer.java
@@ -17,7 +17,7 @@
 import merlinlever.manage.Manage;
 import merlinlever.manage.Telling;
 import merlinlever.net.Clock;
-import merlinlever.net.HangUp;
+import merlinlever.net.SignalHandler;
 import merlinlever.net.Loop;
 import merlinlever.sheet.Sheet;
 import merlinlever.zone.front.Counts;
@@ -191,7 +191,7 @@
     }
 
     void run() {
-        HangUp.handle(() -> loop.execute(this::reloadAll));
+        SignalHandler.handle(() -> loop.execute(this::reloadAll));
         Thread hook = new Thread(this::leaveAndWait);
         Runtime.getRuntime().addShutdownHook(hook);
         try {
--- a/src/main/java/merlinlever/net/Signals.java
+++ b/src/main/java/merlinlever/net/Signals.java
@@ -20,7 +20,7 @@
     /** Those of this process, from here on. */
     public static Signals ofProcess() {
         Signals signals = new Signals();
-        HangUp.handle(signals::hangUp);
+        SignalHandler.handle(signals::hangUp);
         Runtime.getRuntime().addShutdownHook(new Thread(signals::terminate, "terminate"));
         return signals;
     }
