--- a/src/main/java/merlinlever/core/Backend.java
+++ b/src/main/java/merlinlever/core/Backend.java
@@ -36,7 +36,7 @@
     private final Endings endings = new Endings();
     private final Calling calling;
     private final Checks checks;
-    private final Doubt doubt;
+    private final InDoubtCommands inDoubt;
     private final Fleetwide fleetwide = new Fleetwide();
     private final boolean subjects;
     private final Duration longestUnread;
@@ -54,7 +54,7 @@
         this.outside = outside;
         calling = new Calling(outside::calls);
         checks = new Checks(outside::exercise);
-        doubt = new Doubt(outside);
+        inDoubt = new InDoubtCommands(outside);
         tariffs = Conductor.indices(given, "tariffs");
         runQueueAt = List.of(given.getOrDefault("server.gauges", "").split(",")).indexOf("run-queue");
         Duration longest = LONGEST_UNREAD;
@@ -235,7 +235,7 @@
         Duration took = calling.ended(work, now, how, reply);
         if (how == Ending.OK) {
             ontoCores++;
-            doubt.deliver(work, now);
+            inDoubt.deliver(work, now);
         }
         work.handle.callEnded(now, how, took);
     }
@@ -279,19 +279,19 @@
 
     /** The link to the agent is lost, which stood at that time still: runs go on, what was sent since may not have got there. */
     public void linkLost(Duration stood) {
-        doubt.lost(stood);
+        inDoubt.lost(stood);
     }
 
     /** The link is made again: what is sent from here on gets there. */
     public void linkBack(Duration now) {
         touch(now);
-        doubt.back(byId.values());
+        inDoubt.back(byId.values());
     }
 
     /** All notices of the time without a link have been read: what may not have got there is sent again. */
     public void caughtUp(Duration now) {
         touch(now);
-        doubt.settle(byId.values(), now);
+        inDoubt.settle(byId.values(), now);
     }
 
     /** Notices were missed for good: how the runs of that time ended is not known, and they are not begun again. */
@@ -361,7 +361,7 @@
     @Override public void start(Work work) {
         work.launched = true;
         ontoCores++;
-        doubt.launch(work, now);
+        inDoubt.launch(work, now);
     }
 
     @Override public void share(Work work) {
--- a/src/main/java/merlinlever/core/Doubt.java
+++ b/src/main/java/merlinlever/core/InDoubtCommands.java
@@ -8,7 +8,7 @@
  * all notices of the time without are read; what is sure to have arrived is not, as its run may have ended by now and
  * would be begun once more.
  */
-final class Doubt {
+final class InDoubtCommands {
 
     /** What left within 50 ms before a link broke may be lost. */
     private static final Duration IN_TRANSIT = Duration.ofMillis(55);
@@ -17,7 +17,7 @@
     /** What left from then on is in doubt; null while nothing is. */
     private Duration from;
 
-    Doubt(Outside outside) {
+    InDoubtCommands(Outside outside) {
         this.outside = outside;
     }
 
--- a/src/test/java/merlinlever/core/DoubtTest.java
+++ b/src/test/java/merlinlever/core/InDoubtCommandsTest.java
@@ -8,7 +8,7 @@
 import net.jqwik.api.Example;
 
 /** Commands that cross the break of a link to the agent. */
-class DoubtTest {
+class InDoubtCommandsTest {
 
     private static void lost(Around around) {
         around.backend.linkLost(around.now);
