--- a/src/main/java/merlinlever/cli/Serve.java
+++ b/src/main/java/merlinlever/cli/Serve.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import merlinlever.core.Backend;
 import merlinlever.core.Stated;
-import merlinlever.directory.Reports;
+import merlinlever.directory.Heartbeats;
 import merlinlever.http.EdgeNodes;
 import merlinlever.log.Log;
 import merlinlever.manage.Manage;
@@ -55,7 +55,7 @@
     private final Assembly assembly;
     private final Backend backend;
     private final EdgeNodes edge;
-    private final Reports reports;
+    private final Heartbeats heartbeats;
     /** Null where nobody manages it, as on the platform. */
     private final Manage manage;
     /** Null where it keeps nothing for a return, as on the platform; its class is not loaded then. */
@@ -84,7 +84,7 @@
             assembly = new Assembly(loop, given, started.seed(), started.agent(), started.records(), calls(), log);
             backend = assembly.backend;
             edge = assembly.edge;
-            reports = new Reports(started.lookup(), started.name());
+            heartbeats = new Heartbeats(started.lookup(), started.name());
             recovering = rest.containsKey("recovery.state") ? new Recovering(rest, loop, backend, given, started.seed(), log) : null;
             manage = rest.containsKey("manage") ? new Manage(loop, address(rest, "manage"), () -> Telling.of(backend.leaving(),
                     backend.healthy(), backend.inHand(), clock.uptime().toMillis(), backend.figures(),
@@ -108,13 +108,13 @@
         } catch (IOException e) {
             throw new Unusable("cannot listen on " + started.rest().get("listen") + ": " + e.getMessage());
         }
-        loop.every(Reports.PERIOD, this::report);
+        loop.every(Heartbeats.PERIOD, this::beat);
         loop.every(COMPARE, clock::compare);
     }
 
-    private void report() {
+    private void beat() {
         if (!backend.leaving() || listFollows) {
-            reports.report(!backend.leaving() && (!backend.started() || backend.healthy()));
+            heartbeats.beat(!backend.leaving() && (!backend.started() || backend.healthy()));
         }
     }
 
@@ -200,8 +200,8 @@
             }
             assembly.agent.moveTo(read.agent());
             assembly.records.moveTo(read.records());
-            reports.moveTo(read.lookup());
-            report();
+            heartbeats.moveTo(read.lookup());
+            beat();
         } catch (Unusable e) {
             // One line, however often it is read, and one more where it is whole at last and can't be used for another cause.
             boolean last = readings <= 1;
--- a/src/main/java/merlinlever/directory/Reports.java
+++ b/src/main/java/merlinlever/directory/Heartbeats.java
@@ -7,8 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
-/** Reports to the directory, one datagram each, which nobody has to receive. */
-public final class Reports {
+/** Heartbeats to the directory, one datagram each, which nobody has to receive. */
+public final class Heartbeats {
 
     /**
      * A quarter of the reports may be lost, and an entry lapses 3 s after the last. With one a second the third report
@@ -20,19 +20,19 @@
     private final String name;
     private InetSocketAddress address;
 
-    public Reports(InetSocketAddress address, String name) throws IOException {
+    public Heartbeats(InetSocketAddress address, String name) throws IOException {
         this.address = address;
         this.name = name;
         channel = DatagramChannel.open();
         channel.configureBlocking(false);
     }
 
-    /** Reports go there from now on. */
+    /** Heartbeats go there from now on. */
     public void moveTo(InetSocketAddress there) {
         address = there;
     }
 
-    public void report(boolean open) {
+    public void beat(boolean open) {
         byte[] text = ("PULSE " + name + (open ? " open" : " closed")).getBytes(StandardCharsets.UTF_8);
         try {
             channel.send(ByteBuffer.wrap(text), address);
--- a/src/test/java/merlinlever/directory/ReportsTest.java
+++ b/src/test/java/merlinlever/directory/HeartbeatsTest.java
@@ -11,8 +11,8 @@
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 
-/** Reports against the lapse of an entry, and to a directory that is not there. */
-class ReportsTest {
+/** Heartbeats against the lapse of an entry, and to a directory that is not there. */
+class HeartbeatsTest {
 
     private static final long LAPSE_MS = 3000;
 
@@ -35,28 +35,28 @@
     void aQuarterOfTheReportsLostTakesHardlyABackendOffTheList() {
         int lapses = 0, before = 0;
         for (long seed = 1; seed <= 20; seed++) {
-            lapses += lapses(Reports.PERIOD.toMillis(), 1000, seed);
+            lapses += lapses(Heartbeats.PERIOD.toMillis(), 1000, seed);
             before += lapses(1000, 1000, seed);
         }
         assertTrue(lapses < 20 * 4, lapses + " in 20,000 s");
         assertTrue(before > 20 * 20, before + " in 20,000 s with one a second: the model counts them");
     }
 
-    /** A directory that is gone, or moves between two reports, costs nothing but those reports. */
+    /** A directory that is gone, or moves between two reports, costs nothing but those heartbeats. */
     @Example
     void reportsGoOnWhenTheDirectoryIsGoneAndMoves() throws Exception {
         InetAddress here = InetAddress.getLoopbackAddress();
         DatagramSocket gone = new DatagramSocket(0, here);
         int port = gone.getLocalPort();
         gone.close();
-        Reports reports = new Reports(new InetSocketAddress(here, port), "n3");
+        Heartbeats heartbeats = new Heartbeats(new InetSocketAddress(here, port), "n3");
         try (DatagramSocket directory = new DatagramSocket(0, here)) {
             directory.setSoTimeout(20_000);
             for (int i = 0; i < 3; i++) {
-                reports.report(true);
+                heartbeats.beat(true);
             }
-            reports.moveTo(new InetSocketAddress(here, directory.getLocalPort()));
-            reports.report(false);
+            heartbeats.moveTo(new InetSocketAddress(here, directory.getLocalPort()));
+            heartbeats.beat(false);
             DatagramPacket packet = new DatagramPacket(new byte[100], 100);
             directory.receive(packet);
             assertEquals("PULSE n3 closed", new String(packet.getData(), 0, packet.getLength(), StandardCharsets.UTF_8));
