--- a/src/main/java/merlinlever/agent/AgentLink.java
+++ b/src/main/java/merlinlever/agent/AgentLink.java
@@ -13,7 +13,7 @@
 import merlinlever.json.Json;
 import merlinlever.log.Log;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /** The link to the agent: made again when it is lost, with each notice taken once and in its order. */
@@ -79,7 +79,7 @@
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             if (this == link) {
                 log.warn("link to the agent lost: " + how + ", last notice " + lastRead);
                 link = null;
@@ -121,7 +121,7 @@
         Link stale = coming;
         coming = null;
         if (stale != null) {
-            stale.connection.end(Ended.DONE);
+            stale.connection.end(CloseReason.DONE);
         }
         connect();
     }
@@ -133,7 +133,7 @@
         unanswered = waits ? unanswered + 1 : 0;
         if (unanswered >= CHECKS) {
             unanswered = 0;
-            (coming != null ? coming : link).connection.end(Ended.SLOW);
+            (coming != null ? coming : link).connection.end(CloseReason.SLOW);
         }
     }
 
@@ -221,7 +221,7 @@
         if (before != null) {
             // It was replaced at some time after the new one had been made.
             backend.linkLost(stood.compareTo(link.madeAt) < 0 ? stood : link.madeAt);
-            before.connection.end(Ended.DONE);
+            before.connection.end(CloseReason.DONE);
         }
         stood = link.madeAt;
         if (!backend.started()) {
--- a/src/main/java/merlinlever/cli/Rehearsal.java
+++ b/src/main/java/merlinlever/cli/Rehearsal.java
@@ -13,7 +13,7 @@
 import merlinlever.log.Log;
 import merlinlever.net.Clock;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /**
@@ -50,7 +50,7 @@
             connection.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
         }
     }
 
--- a/src/main/java/merlinlever/faults/party/Callers.java
+++ b/src/main/java/merlinlever/faults/party/Callers.java
@@ -10,7 +10,7 @@
 import java.util.SplittableRandom;
 import merlinlever.faults.audit.Rules;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /**
@@ -147,7 +147,7 @@
             over(Integer.parseInt(text.substring(9, 12)), text, null, false);
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             // A refused connection proves that nothing ran.
             over(0, null, "its connection ended: " + how, !made);
         }
@@ -168,7 +168,7 @@
                 rules.unanswered(operation, id, excused || away || life != begunIn, how);
             }
             if (connection != null) {
-                connection.end(Ended.DONE);
+                connection.end(CloseReason.DONE);
             }
             if (status == 200) {
                 satisfiedAt[keyed ? 1 : 0] = now;
--- a/src/main/java/merlinlever/faults/party/RenderFarm.java
+++ b/src/main/java/merlinlever/faults/party/RenderFarm.java
@@ -14,7 +14,7 @@
 import merlinlever.faults.audit.Rules;
 import merlinlever.json.Json;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
 
@@ -78,7 +78,7 @@
         notices.clear();
         dark = true;
         if (link != null) {
-            link.connection.end(Ended.DONE);
+            link.connection.end(CloseReason.DONE);
         }
     }
 
@@ -114,7 +114,7 @@
             try {
                 command = Json.object(line);
             } catch (Json.Malformed e) {
-                connection.end(Ended.MALFORMED);
+                connection.end(CloseReason.MALFORMED);
                 return;
             }
             String id = String.valueOf(command.get("req"));
@@ -144,11 +144,11 @@
 
         private void subscribed(int offset) {
             if (dark) {
-                connection.end(Ended.DONE);
+                connection.end(CloseReason.DONE);
                 return;
             }
             if (link != null && link != this) {
-                link.connection.end(Ended.DONE);
+                link.connection.end(CloseReason.DONE);
             }
             link = this;
             if (offset == 0) {
@@ -160,7 +160,7 @@
             notices.subList(Math.min(offset, notices.size()), notices.size()).forEach(this::say);
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             if (link == this) {
                 link = null;
             }
--- a/src/main/java/merlinlever/faults/party/SharedParty.java
+++ b/src/main/java/merlinlever/faults/party/SharedParty.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import merlinlever.faults.audit.Shares;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
 
@@ -49,7 +49,7 @@
     /** It is lost: nothing listens, and what was open breaks off. */
     public void lose() {
         listener.close();
-        java.util.List.copyOf(lines).forEach(line -> line.connection.end(Ended.FAILED));
+        java.util.List.copyOf(lines).forEach(line -> line.connection.end(CloseReason.FAILED));
     }
 
     private final class Line implements Connection.User {
@@ -75,7 +75,7 @@
                     in.position(in.position() + end + 2 + length + 2);
                     begin(words[1]);
                 } else {
-                    connection.end(Ended.MALFORMED);
+                    connection.end(CloseReason.MALFORMED);
                     return;
                 }
             }
@@ -98,7 +98,7 @@
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             lines.remove(this);
             java.util.List.copyOf(calls.keySet()).forEach(this::over);
             listener.gone();
--- a/src/main/java/merlinlever/host/front/HostFront.java
+++ b/src/main/java/merlinlever/host/front/HostFront.java
@@ -24,7 +24,7 @@
 import merlinlever.host.state.Keeper;
 import merlinlever.host.state.Orders;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
 import merlinlever.recovery.net.Rejoin;
@@ -187,7 +187,7 @@
             int head = text.indexOf("\r\n\r\n");
             if (said || head < 0) {
                 if (in.remaining() == MESSAGE) {
-                    connection.end(Ended.MALFORMED);
+                    connection.end(CloseReason.MALFORMED);
                 }
                 return;
             }
@@ -316,10 +316,10 @@
 
         @Override public void written() {
             written = true;
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             written = true;
             open.remove(this);
             listener.gone();
@@ -327,7 +327,7 @@
 
         void look() {
             if (loop.clock().uptime().minus(since).compareTo(SLOW) > 0) {
-                connection.end(Ended.SLOW);
+                connection.end(CloseReason.SLOW);
             }
         }
     }
--- a/src/main/java/merlinlever/host/run/Visit.java
+++ b/src/main/java/merlinlever/host/run/Visit.java
@@ -14,7 +14,7 @@
 import java.util.function.Consumer;
 import merlinlever.host.state.Told;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /** Asks an instance, or another agent, once for one JSON object; no answer in time is none. */
@@ -72,7 +72,7 @@
         over = true;
         late.callOff();
         if (connection != null) {
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
         done.accept(body);
     }
@@ -118,7 +118,7 @@
                 node.path("level").asDouble(), reasons, node.path("broken_off").asLong(), shares, view);
     }
 
-    @Override public void ended(Ended how) {
+    @Override public void ended(CloseReason how) {
         end(null);
     }
 }
--- a/src/main/java/merlinlever/http/EdgeConnection.java
+++ b/src/main/java/merlinlever/http/EdgeConnection.java
@@ -8,7 +8,7 @@
 import merlinlever.core.Caller;
 import merlinlever.core.Work;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 
 /** One connection of an edge node: one message at a time, answered before the next is looked at. */
 final class EdgeConnection implements Connection.User, Caller {
@@ -29,7 +29,7 @@
     private Work work;
     private int seen;
     private boolean last, asked;
-    private Ended how = Ended.DONE;
+    private CloseReason how = CloseReason.DONE;
 
     EdgeConnection(EdgeNodes owner) {
         this.owner = owner;
@@ -45,7 +45,7 @@
     }
 
     /** How it ends where this side ends it after its last word. */
-    Ended how() {
+    CloseReason how() {
         return how;
     }
 
@@ -53,7 +53,7 @@
      * Ends it in good order while no message is in hand. What crosses this was sent to a connection that may be closed:
      * it is read, as a close over unread bytes would be a reset, and it goes no further, as it could not be answered.
      */
-    void shut(Ended as) {
+    void shut(CloseReason as) {
         if (state == State.NEW || state == State.IDLE || state == State.RECEIVING) {
             how = as;
             become(State.LINGERING);
@@ -223,7 +223,7 @@
         connection.readAgain();
     }
 
-    @Override public void ended(Ended how) {
+    @Override public void ended(CloseReason how) {
         Work open = work;
         work = null;
         owner.gone(this, state);
--- a/src/main/java/merlinlever/http/EdgeNodes.java
+++ b/src/main/java/merlinlever/http/EdgeNodes.java
@@ -14,7 +14,7 @@
 import merlinlever.core.Stated;
 import merlinlever.net.Clock;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
 
@@ -127,7 +127,7 @@
     /** Connections with no message in hand end; what still comes on them is read and not run. */
     public void shutResting() {
         for (EdgeConnection.State state : RESTING) {
-            List.copyOf(since.get(state).keySet()).forEach(edge -> edge.shut(Ended.IDLE));
+            List.copyOf(since.get(state).keySet()).forEach(edge -> edge.shut(CloseReason.IDLE));
         }
     }
 
@@ -205,12 +205,12 @@
         one = one != null ? one : oldest(EdgeConnection.State.RECEIVING, SLOW);
         one = one != null ? one : oldest(EdgeConnection.State.IDLE, Duration.ZERO);
         if (one != null) {
-            one.shut(Ended.IDLE);
+            one.shut(CloseReason.IDLE);
             return true;
         }
         one = oldest(EdgeConnection.State.ANSWERING, SLOW);
         if (one != null) {
-            one.connection().end(Ended.SLOW);
+            one.connection().end(CloseReason.SLOW);
         }
         return one != null;
     }
@@ -225,9 +225,9 @@
     private void sweep() {
         awake = awake();
         sweptAt = loop.clock().uptime();
-        shutAll(EdgeConnection.State.NEW, FIRST, Ended.SLOW);
-        shutAll(EdgeConnection.State.IDLE, closeIdle, Ended.IDLE);
-        shutAll(EdgeConnection.State.RECEIVING, SLOWEST, Ended.SLOW);
+        shutAll(EdgeConnection.State.NEW, FIRST, CloseReason.SLOW);
+        shutAll(EdgeConnection.State.IDLE, closeIdle, CloseReason.IDLE);
+        shutAll(EdgeConnection.State.RECEIVING, SLOWEST, CloseReason.SLOW);
         endAll(EdgeConnection.State.ANSWERING, SLOWEST);
         endAll(EdgeConnection.State.LINGERING, LINGER);
         if (listener != null) {
@@ -237,7 +237,7 @@
         }
     }
 
-    private void shutAll(EdgeConnection.State state, Duration older, Ended how) {
+    private void shutAll(EdgeConnection.State state, Duration older, CloseReason how) {
         if (oldest(state, older) != null) {
             // Behind what has been read already and waits for its turn.
             loop.execute(() -> {
@@ -250,7 +250,7 @@
 
     private void endAll(EdgeConnection.State state, Duration older) {
         for (EdgeConnection edge = oldest(state, older); edge != null; edge = oldest(state, older)) {
-            edge.connection().end(state == EdgeConnection.State.LINGERING ? edge.how() : Ended.SLOW);
+            edge.connection().end(state == EdgeConnection.State.LINGERING ? edge.how() : CloseReason.SLOW);
         }
     }
 }
--- a/src/main/java/merlinlever/manage/Manage.java
+++ b/src/main/java/merlinlever/manage/Manage.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Listener;
 import merlinlever.net.Loop;
 
@@ -51,7 +51,7 @@
 
     public void close() {
         listener.close();
-        List.copyOf(open).forEach(visit -> visit.connection.end(Ended.DONE));
+        List.copyOf(open).forEach(visit -> visit.connection.end(CloseReason.DONE));
     }
 
     private void accepted(AsynchronousSocketChannel channel) {
@@ -64,7 +64,7 @@
         open.add(visit);
         visit.connection = Connection.accepted(loop, channel, visit, MESSAGE, 64 * 1024);
         if (++answered > MOST) {
-            visit.connection.end(Ended.DONE);
+            visit.connection.end(CloseReason.DONE);
         } else {
             visit.connection.readOn();
         }
@@ -79,7 +79,7 @@
             String text = StandardCharsets.ISO_8859_1.decode(in.duplicate()).toString();
             if (said || !text.contains("\r\n\r\n")) {
                 if (in.remaining() == MESSAGE) {
-                    connection.end(Ended.MALFORMED);
+                    connection.end(CloseReason.MALFORMED);
                 }
                 return;
             }
@@ -92,17 +92,17 @@
         }
 
         @Override public void written() {
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             open.remove(this);
             listener.gone();
         }
 
         void look() {
             if (loop.clock().uptime().minus(since).compareTo(SLOW) > 0) {
-                connection.end(Ended.SLOW);
+                connection.end(CloseReason.SLOW);
             }
         }
     }
--- a/src/main/java/merlinlever/net/Ended.java
+++ b/src/main/java/merlinlever/net/CloseReason.java
@@ -6,7 +6,7 @@
  * Every way in which a connection can end, and in this one place what each means for a call that was in hand on it
  * ({@link #ofCall}). For an operation in hand all mean the same: its caller is gone. For runs none means anything.
  */
-public enum Ended {
+public enum CloseReason {
     /** The other side closed in good order. */
     CLOSED_THERE(Ending.CUT_OFF),
     /** A reset or any other failure of reading or writing. */
@@ -30,7 +30,7 @@
 
     private final Ending ofCall;
 
-    Ended(Ending ofCall) {
+    CloseReason(Ending ofCall) {
         this.ofCall = ofCall;
     }
 
--- a/src/main/java/merlinlever/net/Connection.java
+++ b/src/main/java/merlinlever/net/Connection.java
@@ -30,7 +30,7 @@
         }
 
         /** It is over; called once. */
-        void ended(Ended how);
+        void ended(CloseReason how);
     }
 
     /** A party in this process, at the other end of a connection in memory. */
@@ -51,7 +51,7 @@
     private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
     private int queued;
     private boolean reading, readingBeside, taking, writing, asked, made;
-    private Ended ended;
+    private CloseReason ended;
     /** In memory: the other end, and what it has written and was not read here yet. */
     private Connection other;
     private final ArrayDeque<ByteBuffer> arriving = new ArrayDeque<>(0);
@@ -101,7 +101,7 @@
         }
         Connection connection = new Connection(loop, AsynchronousSocketChannel.open(loop.group()), user, readBuffer,
                 mostQueued);
-        Loop.Timer late = loop.in(patience, () -> connection.notMade(Ended.NOT_MADE));
+        Loop.Timer late = loop.in(patience, () -> connection.notMade(CloseReason.NOT_MADE));
         loop.execute(() -> connection.connect(address, late));
         return connection;
     }
@@ -123,18 +123,18 @@
 
             @Override public void failed(Throwable cause, Void none) {
                 late.callOff();
-                notMade(Ended.REFUSED);
+                notMade(CloseReason.REFUSED);
             }
         });
     }
 
-    private void notMade(Ended how) {
+    private void notMade(CloseReason how) {
         if (!made) {
             end(how);
         }
     }
 
-    public Ended ended() {
+    public CloseReason ended() {
         return ended;
     }
 
@@ -189,13 +189,13 @@
         in.compact();
         taking = false;
         if (!well) {
-            end(Ended.FAILED);
+            end(CloseReason.FAILED);
         }
     }
 
     private void tell(Runnable what) {
         if (!loop.guarded(what)) {
-            end(Ended.FAILED);
+            end(CloseReason.FAILED);
         }
     }
 
@@ -206,7 +206,7 @@
                 return;
             }
             if (count < 0) {
-                end(Ended.CLOSED_THERE);
+                end(CloseReason.CLOSED_THERE);
                 return;
             }
             if (readingBeside) {
@@ -218,7 +218,7 @@
 
         @Override public void failed(Throwable cause, Void none) {
             reading = false;
-            end(Ended.BROKEN);
+            end(CloseReason.BROKEN);
         }
     };
 
@@ -234,7 +234,7 @@
             }
         }
         if (queued > mostQueued) {
-            end(Ended.OVERFULL);
+            end(CloseReason.OVERFULL);
             return;
         }
         wantWrite();
@@ -284,7 +284,7 @@
 
         @Override public void failed(Throwable cause, Void none) {
             writing = false;
-            end(Ended.BROKEN);
+            end(CloseReason.BROKEN);
         }
     };
 
@@ -295,12 +295,12 @@
                 channel.shutdownOutput();
             }
         } catch (IOException e) {
-            end(Ended.BROKEN);
+            end(CloseReason.BROKEN);
         }
     }
 
     /** Ends it; a second end changes nothing. */
-    public void end(Ended how) {
+    public void end(CloseReason how) {
         if (ended != null) {
             return;
         }
@@ -308,7 +308,7 @@
         out.clear();
         queued = 0;
         if (other != null) {
-            loop.execute(() -> other.end(Ended.CLOSED_THERE));
+            loop.execute(() -> other.end(CloseReason.CLOSED_THERE));
         } else {
             try {
                 channel.close();
--- a/src/main/java/merlinlever/records/RecordsLink.java
+++ b/src/main/java/merlinlever/records/RecordsLink.java
@@ -16,7 +16,7 @@
 import merlinlever.core.Work;
 import merlinlever.log.Log;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /**
@@ -103,7 +103,7 @@
                 }
             } catch (Reply.Malformed e) {
                 log.warn("records service: " + e.getMessage());
-                connection.end(Ended.MALFORMED);
+                connection.end(CloseReason.MALFORMED);
                 return;
             }
             since = loop.clock().uptime();
@@ -112,14 +112,14 @@
                 return;
             }
             if (surplus || in.hasRemaining() || !to.equals(address)) {
-                connection.end(surplus || in.hasRemaining() ? Ended.MALFORMED : Ended.DONE);
+                connection.end(surplus || in.hasRemaining() ? CloseReason.MALFORMED : CloseReason.DONE);
             } else {
                 idle.addFirst(this);
                 nextWaiting();
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             lines--;
             idle.remove(this);
             if (call != null) {
@@ -156,9 +156,9 @@
             line.call.line = null;
             line.call = null;
         }
-        unmade.forEach(line -> line.connection.end(Ended.DONE));
+        unmade.forEach(line -> line.connection.end(CloseReason.DONE));
         if (there == null) {
-            List.copyOf(waiting).forEach(call -> over(call, Ended.NOT_MADE.ofCall(), null));
+            List.copyOf(waiting).forEach(call -> over(call, CloseReason.NOT_MADE.ofCall(), null));
         }
         sweep();
     }
@@ -166,10 +166,10 @@
     private void sweep() {
         Duration now = loop.clock().uptime();
         calls.values().stream().map(call -> call.line).filter(line -> line != null && line.partly
-                && line.since.plus(STALLED).compareTo(now) <= 0).toList().forEach(line -> line.connection.end(Ended.SLOW));
+                && line.since.plus(STALLED).compareTo(now) <= 0).toList().forEach(line -> line.connection.end(CloseReason.SLOW));
         while (!idle.isEmpty()
                 && (!idle.peekLast().to.equals(address) || idle.peekLast().since.plus(IDLE).compareTo(now) <= 0)) {
-            idle.pollLast().connection.end(Ended.IDLE);
+            idle.pollLast().connection.end(CloseReason.IDLE);
         }
         // There may be a descriptor now where there was none.
         nextWaiting();
@@ -177,7 +177,7 @@
 
     @Override public void call(Work work, byte[] body, Duration within) {
         if (address == null) {
-            loop.execute(() -> maker.callEnded(loop.clock().now(), work.id(), Ended.NOT_MADE.ofCall(), null));
+            loop.execute(() -> maker.callEnded(loop.clock().now(), work.id(), CloseReason.NOT_MADE.ofCall(), null));
             return;
         }
         // The service takes a second call for an operation as the end of its first.
@@ -209,7 +209,7 @@
         Line its = call.line;
         over(call, how, null);
         if (its != null) {
-            its.connection.end(Ended.SLOW);
+            its.connection.end(CloseReason.SLOW);
         }
     }
 
@@ -252,7 +252,7 @@
         }
         if (lines >= most && !idle.isEmpty()) {
             // All that are idle had this operation's last call: one of them makes room.
-            idle.peekLast().connection.end(Ended.IDLE);
+            idle.peekLast().connection.end(CloseReason.IDLE);
         }
         if (lines >= most) {
             return null;
--- a/src/main/java/merlinlever/zone/client/Asker.java
+++ b/src/main/java/merlinlever/zone/client/Asker.java
@@ -15,7 +15,7 @@
 import merlinlever.Ending;
 import merlinlever.net.Connection;
 import merlinlever.net.Datagrams;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 import merlinlever.zone.record.Malformed;
 import merlinlever.zone.wire.Message;
@@ -80,7 +80,7 @@
                 again.callOff();
             }
             if (connection != null) {
-                connection.end(Ended.DONE);
+                connection.end(CloseReason.DONE);
             }
             done.accept(new Answered(way, message));
         }
@@ -162,7 +162,7 @@
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             if (!one.over) {
                 one.connection = null;
                 boolean never = how.ofCall() == Ending.UNREACHABLE;
--- a/src/main/java/merlinlever/zone/client/Fetch.java
+++ b/src/main/java/merlinlever/zone/client/Fetch.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 import merlinlever.zone.record.Malformed;
 import merlinlever.zone.record.Names;
@@ -84,7 +84,7 @@
             silent.callOff();
         }
         if (connection != null) {
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
         done.accept(new Fetched(zone, why));
     }
@@ -145,7 +145,7 @@
         }
     }
 
-    @Override public void ended(Ended how) {
-        end(null, how == Ended.REFUSED || how == Ended.NOT_MADE ? "cannot be reached" : "the transfer was cut");
+    @Override public void ended(CloseReason how) {
+        end(null, how == CloseReason.REFUSED || how == CloseReason.NOT_MADE ? "cannot be reached" : "the transfer was cut");
     }
 }
--- a/src/main/java/merlinlever/zone/front/Stream.java
+++ b/src/main/java/merlinlever/zone/front/Stream.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import merlinlever.net.Loop;
 
 /** One TCP connection (RFC 7766): messages with their length before them, answers in the order in which they are ready. */
@@ -63,7 +63,7 @@
                 inHand.add(asked);
             } else if (!one.answered) {
                 // Not a question: nothing that such a peer says next is worth reading.
-                connection.end(Ended.MALFORMED);
+                connection.end(CloseReason.MALFORMED);
                 return;
             }
         }
@@ -90,7 +90,7 @@
         @Override public void answer(byte[] octets) {
             over();
             if (octets == null) {
-                connection.end(Ended.DONE);
+                connection.end(CloseReason.DONE);
             } else {
                 write(octets);
             }
@@ -144,11 +144,11 @@
         if (sending != null) {
             more();
         } else if (last && inHand.isEmpty()) {
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
     }
 
-    @Override public void ended(Ended how) {
+    @Override public void ended(CloseReason how) {
         Duration now = loop.clock().now();
         for (Asked asked : List.copyOf(inHand)) {
             desk.callerGone(now, asked);
@@ -167,9 +167,9 @@
     void look(Duration now) {
         if (incompleteSince != null && inHand.size() < MOST_IN_HAND && passed(incompleteSince, now, WHOLE)
                 || unwrittenSince != null && passed(unwrittenSince, now, WHOLE)) {
-            connection.end(Ended.SLOW);
+            connection.end(CloseReason.SLOW);
         } else if (inHand.isEmpty() && unwrittenSince == null && passed(idleSince, now, IDLE)) {
-            connection.end(Ended.IDLE);
+            connection.end(CloseReason.IDLE);
         }
     }
 
@@ -181,14 +181,14 @@
     void leave() {
         last = true;
         if (inHand.isEmpty() && unwrittenSince == null) {
-            connection.end(Ended.DONE);
+            connection.end(CloseReason.DONE);
         }
     }
 
     /** Ends it if nothing is open on it; says whether it did. */
     boolean makeRoom() {
         if (inHand.isEmpty() && unwrittenSince == null) {
-            connection.end(Ended.IDLE);
+            connection.end(CloseReason.IDLE);
             return true;
         }
         return false;
--- a/src/test/java/merlinlever/agent/LinkOrdersTest.java
+++ b/src/test/java/merlinlever/agent/LinkOrdersTest.java
@@ -19,7 +19,7 @@
 import merlinlever.agent.LinkedBackend.Agent;
 import merlinlever.net.Connection;
 import merlinlever.net.DrivenLoop;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -149,7 +149,7 @@
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
         }
 
         void say(String line) {
--- a/src/test/java/merlinlever/http/EdgeClosingTest.java
+++ b/src/test/java/merlinlever/http/EdgeClosingTest.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import merlinlever.http.EdgeConnection.State;
 import merlinlever.net.Connection;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import net.jqwik.api.Example;
 
 /** Bytes of an edge node that cross the close of its connection: idle, never used, half read, out of room, leaving. */
@@ -91,7 +91,7 @@
                 heard.append(StandardCharsets.ISO_8859_1.decode(in));
             }
 
-            @Override public void ended(Ended how) {
+            @Override public void ended(CloseReason how) {
                 heard.append(how);
             }
         }, EdgeConnection.BUFFER, EdgeConnection.MOST_QUEUED)));
--- a/src/test/java/merlinlever/http/EdgeStatesTest.java
+++ b/src/test/java/merlinlever/http/EdgeStatesTest.java
@@ -156,7 +156,7 @@
                     write(socket, "GET /none HTTP/1.1\r\n\r\n".repeat(5000));
                 }
             } catch (IOException e) {
-                // Ended, as it should be.
+                // Over, as it should be.
             }
         });
         flood.start();
--- a/src/test/java/merlinlever/net/CrossingTest.java
+++ b/src/test/java/merlinlever/net/CrossingTest.java
@@ -40,7 +40,7 @@
 
     /** Hears the end, which stops the loop; what else it does is up to each test. */
     private static class Ends implements Connection.User {
-        final List<Ended> heard = new ArrayList<>();
+        final List<CloseReason> heard = new ArrayList<>();
         final Loop loop;
 
         Ends(Loop loop) {
@@ -51,7 +51,7 @@
             in.position(in.limit());
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             heard.add(how);
             loop.stop();
         }
@@ -106,7 +106,7 @@
                 Connection connection = Connection.to(loop, server.getLocalSocketAddress(), ends, 64, 64, Duration.ofSeconds(5));
                 connection.write(ByteBuffer.wrap(new byte[] {1}));
                 loop.run();
-                assertEquals(List.of(Ended.FAILED), ends.heard);
+                assertEquals(List.of(CloseReason.FAILED), ends.heard);
                 assertEquals(1, failures.size(), failures.toString());
                 loop.group().shutdownNow();
             }
@@ -150,7 +150,7 @@
                     }
                 }
 
-                @Override public void ended(Ended how) {
+                @Override public void ended(CloseReason how) {
                     failures.add(new IllegalStateException("" + how));
                     loop.stop();
                 }
@@ -207,23 +207,23 @@
             peer.join();
             assertTrue(Arrays.equals(sent, got[0]));
             assertEquals(1, written[0]);
-            assertEquals(List.of(Ended.CLOSED_THERE), ends.heard);
+            assertEquals(List.of(CloseReason.CLOSED_THERE), ends.heard);
             assertEquals(List.of(), failures);
             loop.group().shutdownNow();
         }
     }
 
-    /** Ended with a read and a write pending and a time limit set: one end is heard, and what fires later finds it over. */
+    /** Over with a read and a write pending and a time limit set: one end is heard, and what fires later finds it over. */
     @Example
     void whatCompletesAfterTheEndChangesNothing() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 50, HERE)) {
             Loop loop = loop();
-            List<Ended> heard = new ArrayList<>();
+            List<CloseReason> heard = new ArrayList<>();
             Connection[] made = new Connection[1];
             made[0] = Connection.to(loop, server.getLocalSocketAddress(), new Connection.User() {
                 @Override public void made() {
                     made[0].write(ByteBuffer.allocate(8 << 20));
-                    loop.in(Duration.ofMillis(20), () -> made[0].end(Ended.DONE));
+                    loop.in(Duration.ofMillis(20), () -> made[0].end(CloseReason.DONE));
                     // Past the time limit of the dialling.
                     loop.in(Duration.ofMillis(150), loop::stop);
                 }
@@ -236,16 +236,16 @@
                     failures.add(new IllegalStateException("written after its end"));
                 }
 
-                @Override public void ended(Ended how) {
+                @Override public void ended(CloseReason how) {
                     heard.add(how);
                     made[0].write(ByteBuffer.wrap(new byte[] {1}));
                     made[0].readAgain();
                     made[0].writeNoMore();
-                    made[0].end(Ended.BROKEN);
+                    made[0].end(CloseReason.BROKEN);
                 }
             }, 64, 16 << 20, Duration.ofMillis(100));
             loop.run();
-            assertEquals(List.of(Ended.DONE), heard);
+            assertEquals(List.of(CloseReason.DONE), heard);
             assertEquals(List.of(), failures);
             loop.group().shutdownNow();
         }
--- a/src/test/java/merlinlever/net/NetTest.java
+++ b/src/test/java/merlinlever/net/NetTest.java
@@ -23,7 +23,7 @@
 
     /** Records the end of a connection and stops the loop with it. */
     private final class Ends implements Connection.User {
-        final List<Ended> heard = new ArrayList<>();
+        final List<CloseReason> heard = new ArrayList<>();
         private final Loop loop;
         private final boolean fails;
 
@@ -39,7 +39,7 @@
             in.position(in.limit());
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
             heard.add(how);
             loop.stop();
         }
@@ -112,9 +112,9 @@
         // One that no other process of these tests listens at meanwhile either.
         int closed = Ports.free();
         Ends refused = connectTo(closed, loop(), false);
-        assertEquals(List.of(Ended.REFUSED), refused.heard);
-        assertTrue(Ended.REFUSED.ofCall().provesUnrun() && !Ended.BROKEN.ofCall().provesUnrun()
-                && Ended.CLOSED_THERE.ofCall() == Ending.CUT_OFF);
+        assertEquals(List.of(CloseReason.REFUSED), refused.heard);
+        assertTrue(CloseReason.REFUSED.ofCall().provesUnrun() && !CloseReason.BROKEN.ofCall().provesUnrun()
+                && CloseReason.CLOSED_THERE.ofCall() == Ending.CUT_OFF);
         for (boolean fails : new boolean[] {false, true}) {
             try (ServerSocket server = new ServerSocket(0)) {
                 Thread other = new Thread(() -> {
@@ -126,7 +126,7 @@
                 });
                 other.start();
                 Ends ends = connectTo(server.getLocalPort(), loop(), fails);
-                assertEquals(List.of(fails ? Ended.FAILED : Ended.CLOSED_THERE), ends.heard);
+                assertEquals(List.of(fails ? CloseReason.FAILED : CloseReason.CLOSED_THERE), ends.heard);
                 assertEquals(fails ? 1 : 0, failures.size());
             }
         }
@@ -136,7 +136,7 @@
     @Example
     void aConnectionInMemoryIsOneLikeAnyOther() {
         StringBuilder there = new StringBuilder();
-        List<Ended> ends = new ArrayList<>();
+        List<CloseReason> ends = new ArrayList<>();
         Connection.Party party = new Connection.Party() {
             private Connection mine;
 
@@ -153,7 +153,7 @@
                 }
             }
 
-            @Override public void ended(Ended how) {
+            @Override public void ended(CloseReason how) {
                 ends.add(how);
             }
         };
@@ -164,7 +164,7 @@
                 heard.put(in);
             }
 
-            @Override public void ended(Ended how) {
+            @Override public void ended(CloseReason how) {
                 ends.add(how);
             }
         }, party, 4, 100);
@@ -172,13 +172,13 @@
         loop.execute(() -> here.write(ByteBuffer.wrap(alphabet)));
         loop.after(() -> {
             if (!heard.hasRemaining()) {
-                here.end(Ended.IDLE);
+                here.end(CloseReason.IDLE);
                 loop.execute(loop::stop);
             }
         });
         loop.run();
         assertEquals("abcdefghijklmnopqrstuvwxyz", there.toString());
-        assertEquals(List.of(Ended.IDLE, Ended.CLOSED_THERE), ends);
+        assertEquals(List.of(CloseReason.IDLE, CloseReason.CLOSED_THERE), ends);
         assertEquals(List.of(), failures);
     }
 
@@ -192,7 +192,7 @@
                     Duration.ofSeconds(5));
             loop.execute(() -> connection.write(ByteBuffer.allocate(1000), ByteBuffer.allocate(30)));
             loop.run();
-            assertEquals(List.of(Ended.OVERFULL), ends.heard);
+            assertEquals(List.of(CloseReason.OVERFULL), ends.heard);
         }
     }
 }
--- a/src/test/java/merlinlever/records/PlayedRecords.java
+++ b/src/test/java/merlinlever/records/PlayedRecords.java
@@ -19,7 +19,7 @@
 import merlinlever.log.Log;
 import merlinlever.net.Connection;
 import merlinlever.net.DrivenLoop;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 
 /** The link to a records service that the test plays; time stands still but where the test moves it on. */
 abstract class PlayedRecords {
@@ -103,7 +103,7 @@
             }
         }
 
-        @Override public void ended(Ended how) {
+        @Override public void ended(CloseReason how) {
         }
 
         void say(String text) {
--- a/src/test/java/merlinlever/records/RecordsCrossingsTest.java
+++ b/src/test/java/merlinlever/records/RecordsCrossingsTest.java
@@ -13,7 +13,7 @@
 import merlinlever.core.Works;
 import merlinlever.faults.proc.Ports;
 import merlinlever.net.DrivenLoop;
-import merlinlever.net.Ended;
+import merlinlever.net.CloseReason;
 import net.jqwik.api.Example;
 
 /** Events that cross on the connections to the records service. */
@@ -34,7 +34,7 @@
             on.run(() -> parties.get(0).say(done(1, "r")));
             on.batches(3);
             on.run(() -> {
-                parties.get(0).mine.end(Ended.IDLE);
+                parties.get(0).mine.end(CloseReason.IDLE);
                 link.call(Works.of(2), new byte[] {'b'}, LIMIT);
             });
             on.batches(3);
