A window stated as 0 is refused in keyed classes alone

SettingsCheck refused any class whose window was 0; the wire gives the window a meaning in keyed classes only, so a site may state none elsewhere and its backends would not have started. ConfigurationTest.aClassThatIsNotKeyed... fails with the former range.

--- a/src/main/java/merlinlever/core/SettingsCheck.java
+++ b/src/main/java/merlinlever/core/SettingsCheck.java
@@ -48,7 +48,7 @@
             Map.entry("rules.cold-share", Range.SHARE), Map.entry("rules.drain-grace", Range.AT_LEAST_0),
             Map.entry("limits.longest-stay-away", Range.AT_LEAST_0)));
     private static final Map<String, Range> OF_A_CLASS = new TreeMap<>(Map.of(
-            "soft-limit", Range.POSITIVE, "client-timeout", Range.POSITIVE, "window", Range.POSITIVE,
+            "soft-limit", Range.POSITIVE, "client-timeout", Range.POSITIVE,
             "soft-limit-stretch", Range.AT_LEAST_0, "value", Range.AT_LEAST_0, "late-value", Range.FINITE));
     private static final Set<String> KINDS = Set.of("retriable", "fingerprinted", "binding");
 
@@ -130,6 +130,8 @@
                 problem(at + "name", "a name that no other class has");
             }
             OF_A_CLASS.forEach((name, range) -> number(at + name, range));
+            // It is of use in keyed classes alone; elsewhere it may be stated as none.
+            number(at + "window", "fingerprinted".equals(given.get(at + "kind")) ? Range.POSITIVE : Range.AT_LEAST_0);
             if (!KINDS.contains(given.getOrDefault(at + "kind", "binding"))) {
                 problem(at + "kind", "by_key, once, repeatable");
             }
--- a/src/test/java/merlinlever/cli/ConfigurationTest.java
+++ b/src/test/java/merlinlever/cli/ConfigurationTest.java
@@ -128,6 +128,12 @@
         assertTrue(read(with("8c1f30d27a5be964", "8c1f30d27a5be96x")).remarks().get(0).contains("16 hex digits"));
     }
 
+    /** A window that is stated as none, and a class of no value, do no harm. */
+    @Example
+    void aClassThatIsNotKeyedMayHaveNoWindowAndAnyMayHaveNoValue() throws Exception {
+        assertEquals(List.of(), read(with("\"gain\":1.0", "\"gain\":0,\"window\":0.0")).remarks());
+    }
+
     /** The fleet's chances fall apart also where no seed is told. */
     @Example
     void withoutASeedTwoNamesHaveTwo() throws Exception {
