--- a/src/test/java/merlinlever/core/Batches.java
+++ b/src/test/java/merlinlever/core/Batches.java
@@ -1,5 +1,7 @@
 package merlinlever.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +13,8 @@
 /** A backend whose batches the test puts together itself: nothing is settled, and no time passes, but by its word. */
 final class Batches {
 
+    static final List<String> DONE = List.of("satisfied done");
+
     final Around around;
     final Backend backend;
     /** How long callers wait from the arrival on. */
@@ -132,4 +136,14 @@
         }
         return given;
     }
+
+    /** One that ran from its arrival on and is answered; its window of 5 s counts from now. */
+    String ran() {
+        String first = read("buy", "t", "a");
+        settle();
+        ended(first, Ending.OK, "done");
+        settle();
+        assertEquals(DONE, heard(first));
+        return first;
+    }
 }
--- a/src/test/java/merlinlever/core/RepeatCrossingsTest.java
+++ b/src/test/java/merlinlever/core/RepeatCrossingsTest.java
@@ -11,29 +11,17 @@
 /** Where the tries of one request cross with each other, with the end of their window and with what is let go of. */
 class RepeatCrossingsTest {
 
-    private static final List<String> DONE = List.of("satisfied done");
-
-    /** One that ran from its arrival on and is answered; its window of 5 s counts from now. */
-    private static String ran(Batches batches) {
-        String first = batches.read("buy", "t", "a");
-        batches.settle();
-        batches.ended(first, Ending.OK, "done");
-        batches.settle();
-        assertEquals(DONE, batches.heard(first));
-        return first;
-    }
-
     /** Guards the edge of the window: it counts from one arrival to the other, and its last moment belongs to it. */
     @Example
     void aTryAtTheLastMomentOfTheWindowSharesAndOneAfterItRuns() {
         for (int ms : new int[] {4999, 5000, 5001}) {
             Batches batches = new Batches();
-            ran(batches);
+            batches.ran();
             batches.pass(ms);
             String again = batches.read("buy", "t", "a");
             batches.settle();
             assertEquals(ms <= 5000 ? List.of() : List.of(again), batches.launched(again), ms + " ms");
-            assertEquals(ms <= 5000 ? DONE : List.of(), batches.heard(again), ms + " ms");
+            assertEquals(ms <= 5000 ? Batches.DONE : List.of(), batches.heard(again), ms + " ms");
         }
     }
 
@@ -41,12 +29,12 @@
     @Example
     void aTryOfTheWindowThatIsReadAfterItShares() {
         Batches batches = new Batches();
-        ran(batches);
+        batches.ran();
         batches.pass(5090);
         String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(91));
         String later = batches.read("buy", "t", null, "a", batches.now().minusMillis(89));
         batches.settle();
-        assertEquals(DONE, batches.heard(again));
+        assertEquals(Batches.DONE, batches.heard(again));
         assertEquals(List.of(later), batches.launched(again, later));
     }
 
@@ -59,7 +47,7 @@
         for (boolean pushedBack : new boolean[] {false, true}) {
             Batches batches = new Batches().busy();
             batches.free();
-            String first = ran(batches);
+            String first = batches.ran();
             batches.pass(5001);
             batches.busy();
             String later = batches.read("buy", "t", "a");
@@ -76,7 +64,7 @@
             batches.settle();
             batches.free();
             assertEquals(List.of(first), batches.launched(first, later, again));
-            assertEquals(DONE, batches.heard(again));
+            assertEquals(Batches.DONE, batches.heard(again));
         }
     }
 
@@ -84,7 +72,7 @@
     @Example
     void aTryOfTheWindowDoesNotWaitBehindALaterOneWhosePlaceItCouldTake() {
         Batches batches = new Batches();
-        String first = ran(batches);
+        String first = batches.ran();
         batches.pass(5001);
         batches.busy();
         String later = batches.read("buy", "t", "a");
@@ -94,19 +82,19 @@
         batches.settle();
         batches.free();
         assertEquals(List.of(first), batches.launched(first, later, again));
-        assertEquals(DONE, batches.heard(again));
+        assertEquals(Batches.DONE, batches.heard(again));
     }
 
     /** Guards against a second run: a time ahead of ours is no way out of the window. */
     @Example
     void aTryThatIsDatedAheadIsReadNow() {
         Batches batches = new Batches();
-        ran(batches);
+        batches.ran();
         batches.pass(3000);
         String again = batches.read("buy", "t", null, "a", batches.now().plusMillis(4500));
         batches.settle();
         assertEquals(List.of(), batches.launched(again));
-        assertEquals(DONE, batches.heard(again));
+        assertEquals(Batches.DONE, batches.heard(again));
     }
 
     /** Guards the others: a date of years ago is no news of how long requests wait unread, and turns nobody away. */
@@ -142,8 +130,8 @@
         assertEquals(List.of(second), batches.launched(first, second, third));
         batches.ended(second, Ending.OK, "done");
         batches.settle();
-        assertEquals(DONE, batches.heard(second));
-        assertEquals(DONE, batches.heard(third));
+        assertEquals(Batches.DONE, batches.heard(second));
+        assertEquals(Batches.DONE, batches.heard(third));
     }
 
     /** Two tries in one batch: the second waits for the first. */
@@ -156,7 +144,7 @@
         assertEquals(List.of(first), batches.launched(first, second));
         batches.ended(first, Ending.OK, "done");
         batches.settle();
-        assertEquals(DONE, batches.heard(second));
+        assertEquals(Batches.DONE, batches.heard(second));
     }
 
     /**
@@ -177,8 +165,8 @@
         batches.ended(heir, Ending.OK, "done");
         batches.settle();
         assertEquals(List.of(), batches.heard(first));
-        assertEquals(DONE, batches.heard(heir));
-        assertEquals(DONE, batches.heard(next));
+        assertEquals(Batches.DONE, batches.heard(heir));
+        assertEquals(Batches.DONE, batches.heard(next));
     }
 
     /** The first is pushed back, its heir's caller goes in the same batch; the next in line runs, and no trace is left. */
@@ -214,8 +202,8 @@
             batches.pass(20);
             String unread = batches.read("buy", "t", null, "a", batches.now().minusMillis(25));
             batches.settle();
-            assertEquals(DONE, batches.heard(during));
-            assertEquals(DONE, batches.heard(unread));
+            assertEquals(Batches.DONE, batches.heard(during));
+            assertEquals(Batches.DONE, batches.heard(unread));
             String after = batches.read("buy", "t", "a");
             batches.settle();
             assertEquals(List.of(first, after), batches.launched(first, during, unread, after));
@@ -233,7 +221,7 @@
         assertEquals(1, batches.backend.inHand());
         batches.ended(first, Ending.OK, "done");
         batches.settle();
-        assertEquals(DONE, batches.heard(first));
+        assertEquals(Batches.DONE, batches.heard(first));
         assertEquals(List.of("launch"), batches.asked(first));
     }
 
@@ -258,7 +246,7 @@
     @Example
     void anIdThatIsUsedAgainIsAnsweredByWhatTheAgentSaysOfIt() {
         Batches batches = new Batches();
-        String first = ran(batches);
+        String first = batches.ran();
         batches.pass(36_000);
         assertEquals(0, batches.backend.known());
         batches.readAs(Long.parseLong(first, 16), first, "look", null, null, "b", batches.now());
--- a/src/test/java/merlinlever/core/RepeatMemoryTest.java
+++ b/src/test/java/merlinlever/core/RepeatMemoryTest.java
@@ -12,18 +12,6 @@
 /** Where what is kept of a run, its result first of all, is let go of as tries of it come, go or are read late. */
 class RepeatMemoryTest {
 
-    private static final List<String> DONE = List.of("satisfied done");
-
-    /** One that ran from its arrival on and is answered; its window of 5 s counts from now. */
-    private static String ran(Batches batches) {
-        String first = batches.read("buy", "t", "a");
-        batches.settle();
-        batches.ended(first, Ending.OK, "done");
-        batches.settle();
-        assertEquals(DONE, batches.heard(first));
-        return first;
-    }
-
     /** Guards the memory: no result stays longer than it can be asked for, however long its run took. */
     @Example
     void theResultOfARunThatOutlastedItsWindowIsLetGo() {
@@ -44,9 +32,9 @@
     @Example
     void theResultOfARunThatWasFollowedByAnotherIsLetGo() {
         Batches batches = new Batches();
-        String first = ran(batches);
+        String first = batches.ran();
         batches.pass(5001);
-        ran(batches);
+        batches.ran();
         batches.pass(2100);
         assertNull(batches.work(first).result);
         assertNull(batches.work(first).body);
@@ -89,12 +77,12 @@
         for (int late : new int[] {1990, 2010, 20_000}) {
             Batches batches = new Batches();
             batches.wait = Duration.ofSeconds(25);
-            ran(batches);
+            batches.ran();
             batches.pass(5000 + late);
             String again = batches.read("buy", "t", null, "a", batches.now().minusMillis(late + 1));
             batches.settle();
             assertEquals(List.of(), batches.launched(again));
-            assertEquals(late < 2000 ? DONE : List.of("broken off"), batches.heard(again), late + " ms late");
+            assertEquals(late < 2000 ? Batches.DONE : List.of("broken off"), batches.heard(again), late + " ms late");
         }
     }
 
@@ -103,14 +91,14 @@
     void aTryReadInTheBatchThatLetsTheResultGoHasOneAnswerAndNoRun() {
         Batches batches = new Batches();
         batches.wait = Duration.ofSeconds(25);
-        ran(batches);
+        batches.ran();
         batches.pass(7000);
         batches.around.now = batches.now().plusMillis(2);
         String before = batches.read("buy", "t", null, "a", batches.now().minusMillis(2100));
         batches.settle();
         String after = batches.read("buy", "t", null, "a", batches.now().minusMillis(2100));
         batches.settle();
-        assertEquals(DONE, batches.heard(before));
+        assertEquals(Batches.DONE, batches.heard(before));
         assertEquals(List.of("broken off"), batches.heard(after));
         assertEquals(List.of(), batches.launched(before, after));
     }
@@ -119,7 +107,7 @@
     @Example
     void whatHasAShortWindowIsNotKeptBehindWhatHasALongOne() {
         Batches batches = new Batches(Batches.with("tariffs.0.window", "1000", "tariffs.1.window", "600000"));
-        ran(batches);
+        batches.ran();
         for (int i = 0; i < 100; i++) {
             String read = batches.read("look", null, "a");
             batches.settle();
