--- a/src/test/java/merlinlever/agent/LinkedBackend.java
+++ b/src/test/java/merlinlever/agent/LinkedBackend.java
@@ -22,6 +22,7 @@
 import merlinlever.Ending;
 import merlinlever.core.Backend;
 import merlinlever.core.Caller;
+import merlinlever.core.HeardCaller;
 import merlinlever.core.Calls;
 import merlinlever.core.Outside;
 import merlinlever.core.Work;
@@ -241,19 +242,7 @@
         String name = String.format("%016x", ++ids);
         List<String> heard = Collections.synchronizedList(new ArrayList<>());
         answers.put(name, heard);
-        Caller caller = new Caller() {
-            @Override public void satisfied(byte[] result) {
-                heard.add("satisfied " + new String(result, StandardCharsets.UTF_8));
-            }
-
-            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
-                heard.add("pushed back");
-            }
-
-            @Override public void brokenOff() {
-                heard.add("broken off");
-            }
-        };
+        Caller caller = new HeardCaller(heard);
         Duration now = driven.loop.clock().now();
         taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, 0, "look", now, now.plusSeconds(100), 10, null,
                 false, null, null, name.getBytes(StandardCharsets.UTF_8)), caller));
--- a/src/test/java/merlinlever/core/Around.java
+++ b/src/test/java/merlinlever/core/Around.java
@@ -51,19 +51,7 @@
         String name = String.format("%016x", ++ids);
         List<String> heard = new ArrayList<>();
         answers.put(name, heard);
-        Caller caller = new Caller() {
-            @Override public void satisfied(byte[] result) {
-                heard.add("satisfied " + new String(result, StandardCharsets.UTF_8));
-            }
-
-            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
-                heard.add("pushed back");
-            }
-
-            @Override public void brokenOff() {
-                heard.add("broken off");
-            }
-        };
+        Caller caller = new HeardCaller(heard);
         taken.put(name, backend.arrived(now, new Backend.Asked(ids, name, backend.tariff(tariff), tariff, now,
                 now.plusMillis(1000), 10, null, false, token, null, body.getBytes(StandardCharsets.UTF_8)), caller));
         settle();
--- a/src/test/java/merlinlever/core/Batches.java
+++ b/src/test/java/merlinlever/core/Batches.java
@@ -76,19 +76,7 @@
     Work readAs(long id, String name, String tariff, String token, String subject, String body, Duration arrival) {
         List<String> heard = new ArrayList<>();
         around.answers.put(name, heard);
-        Caller caller = new Caller() {
-            @Override public void satisfied(byte[] result) {
-                heard.add("satisfied " + new String(result, StandardCharsets.UTF_8));
-            }
-
-            @Override public void pushedBack(boolean nowhereElse, Duration stayAway) {
-                heard.add("pushed back");
-            }
-
-            @Override public void brokenOff() {
-                heard.add("broken off");
-            }
-        };
+        Caller caller = new HeardCaller(heard);
         Work work = backend.arrived(now(), new Backend.Asked(id, name, backend.tariff(tariff), tariff, arrival,
                 arrival.plus(wait), 10, null, false, token, subject, body.getBytes(StandardCharsets.UTF_8)), caller);
         around.taken.put(name, work);
