--- a/review/src/review/Support.java
+++ b/review/src/review/Support.java
@@ -28,10 +28,10 @@
 
     private Support() {}
 
-    /** Opens the record of the case in its folder, and makes sure that nothing outlives the case. */
-    static void begin(String folder, String repository, int limitSeconds) throws IOException {
+    /** Opens the record of the case, and makes sure that nothing outlives the case. */
+    static void begin(String recordFile, String repository, int limitSeconds) throws IOException {
         root = Path.of(repository);
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")));
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
         temp = Files.createTempDirectory("review-case");
         Runtime.getRuntime().addShutdownHook(new Thread(Support::cleanUp));
         Thread watch = new Thread(() -> {
