A keyed launch that may have arrived is not resent: its run could have ended and ran twice

Cause: InDoubtCommands.resend launched again what had been launched up to 55 ms before the link was last known to work. The run can end between the agent's answer to the catch-up question and the arrival of the second launch; the agent keeps no results and runs it again. Excluded: a doubled event and a second attempt (one id, two launches on two links in the agent's record). No question to the agent tells a lost launch from one that runs, so whether a second run does harm decides.

Change: a launch in doubt is resent for idempotent requests only. Any other waits for an event of its run; without one for as long as makes a stall, the controller fails the request and abandons the run (RequestHandle.runInDoubt, Decision.AbandonRun), which is no stall itself. A launch or reply issued without a link is held back and sent once: it certainly never arrived. New log lines tell how much was in doubt.

--- a/src/main/java/merlinlever/backend/Backend.java
+++ b/src/main/java/merlinlever/backend/Backend.java
@@ -48,7 +48,7 @@
                 new IdempotencyCache(),
                 new ResponseTracker(),
                 new DownstreamCallTracker(dependencies::downstream),
-                new InDoubtCommands(dependencies),
+                new InDoubtCommands(dependencies, this.settings),
                 new RunQueueCorrection(this.settings.runQueueIndex()));
         lifecycle = new RequestLifecycle(this.settings, components, batch);
         healthChecks = new HealthChecks(dependencies::startDeepCheck);
@@ -242,10 +242,10 @@
         components.commands().linkRestored(lifecycle.requests());
     }
 
-    /** Resends commands in doubt, once all agent events of the time without a link have been read. */
+    /** Handles commands in doubt, once all agent events of the time without a link have been read. */
     public void agentEventsCaughtUp(Duration now) {
         batch.eventAt(now);
-        components.commands().resend(lifecycle.requests(), now);
+        components.commands().eventsCaughtUp(lifecycle.requests(), now);
     }
 
     /**
--- a/src/main/java/merlinlever/backend/BackendSettings.java
+++ b/src/main/java/merlinlever/backend/BackendSettings.java
@@ -67,10 +67,15 @@
         return settings.server().runQueueIndex();
     }
 
+    /** Returns whether requests of the class may run any number of times. */
+    boolean isIdempotent(int priorityClass) {
+        return settings.priorityClasses().get(priorityClass).isIdempotent();
+    }
+
     /** Returns whether requests of the class with the same subject may share a result. */
     boolean sharesReads(int priorityClass) {
         // Only idempotent requests are reads; the subject of a write identifies no result that could be shared.
         boolean freshReadsShared = !settings.callers().maxOutcomeAge().isZero();
-        return freshReadsShared && settings.priorityClasses().get(priorityClass).isIdempotent();
+        return freshReadsShared && isIdempotent(priorityClass);
     }
 }
--- a/src/main/java/merlinlever/backend/DecisionExecutor.java
+++ b/src/main/java/merlinlever/backend/DecisionExecutor.java
@@ -68,6 +68,12 @@
         }
     }
 
+    @Override
+    public void abandonRun(TrackedRequest request) {
+        dependencies.log("agent-run-abandoned request=" + request.idText());
+        lifecycle.runEnded(batch.now(), request.id(), Outcome.ERROR, null);
+    }
+
     @Override
     public void reject(TrackedRequest request, boolean finalRejection, Duration retryAfter) {
         components.responses().reject(request, finalRejection, retryAfter);
--- a/src/main/java/merlinlever/backend/InDoubtCommands.java
+++ b/src/main/java/merlinlever/backend/InDoubtCommands.java
@@ -4,10 +4,17 @@
 import java.util.Collection;
 
 /**
- * Sends launch and reply commands to the agent, and resends commands that a broken link may have lost. A command is in
- * doubt if it was sent shortly before the link broke or while there was no link. Commands in doubt are resent once all
- * agent events of the time without a link have been read. Commands that are known to have arrived are not resent:
- * resending a launch whose run has ended would run the request twice.
+ * Sends launch and reply commands to the agent, and handles commands that a broken link may have lost. A command is in
+ * doubt if it was sent shortly before the link broke, and no event of its run proves that it arrived. Once all agent
+ * events of the time without a link have been read:
+ *
+ * <ul>
+ *   <li>commands that were issued while there was no link are sent;
+ *   <li>a launch in doubt is resent if the request may run any number of times;
+ *   <li>any other launch in doubt is not resent: if it arrived, its run may have ended since the last event that was
+ *       read, and would take effect a second time. The controller waits for an event of the run, and gives the run up
+ *       if there is none.
+ * </ul>
  */
 final class InDoubtCommands {
 
@@ -15,25 +22,45 @@
     private static final Duration MAX_TRANSIT = Duration.ofMillis(55);
 
     private final BackendDependencies dependencies;
+    private final BackendSettings settings;
+    private boolean connected = true;
     /** Commands sent at or after this time are in doubt; null while no command is. */
     private Duration inDoubtFrom;
 
-    InDoubtCommands(BackendDependencies dependencies) {
+    InDoubtCommands(BackendDependencies dependencies, BackendSettings settings) {
         this.dependencies = dependencies;
+        this.settings = settings;
     }
 
+    /** Sends the launch command, or holds it back until the link is restored. */
     void launch(TrackedRequest request, Duration now) {
-        request.launchDelivery().markSent(now);
-        dependencies.launch(request);
+        if (connected) {
+            request.launchDelivery().markSent(now);
+            dependencies.launch(request);
+        } else {
+            request.launchDelivery().markNotSent();
+        }
     }
 
+    /** Sends the reply to the run's call, or holds it back until the link is restored. */
     void deliverReply(TrackedRequest request, Duration now) {
-        request.replyDelivery().markSent(now);
-        dependencies.deliverReply(request, request.callReply());
+        if (connected) {
+            request.replyDelivery().markSent(now);
+            dependencies.deliverReply(request, request.callReply());
+        } else {
+            request.replyDelivery().markNotSent();
+        }
+    }
+
+    /** Handles a run's request for a call, which proves that all commands to the run have arrived. */
+    void callNeeded(TrackedRequest request) {
+        request.launchDelivery().markArrived();
+        request.replyDelivery().markArrived();
     }
 
     /** Handles the loss of the link, given when the link was last confirmed to work. */
     void linkLost(Duration lastConfirmed) {
+        connected = false;
         Duration from = lastConfirmed.minus(MAX_TRANSIT);
         if (inDoubtFrom == null || from.compareTo(inDoubtFrom) < 0) {
             inDoubtFrom = from;
@@ -42,30 +69,58 @@
 
     /** Handles a new link: marks the commands sent before it that are in doubt. Later commands use the new link. */
     void linkRestored(Collection<TrackedRequest> requests) {
+        connected = true;
         for (TrackedRequest request : requests) {
             request.launchDelivery().linkReplaced(inDoubtFrom);
             request.replyDelivery().linkReplaced(inDoubtFrom);
         }
     }
 
-    /** Resends commands in doubt, once all agent events of the time without a link have been read. */
-    void resend(Collection<TrackedRequest> requests, Duration now) {
+    /** Handles the commands in doubt, once all agent events of the time without a link have been read. */
+    void eventsCaughtUp(Collection<TrackedRequest> requests, Duration now) {
+        logCommandsInDoubt(requests);
         // The commands sent below get a new sending time, so the loss of the next link can put them in doubt again.
         inDoubtFrom = null;
         for (TrackedRequest request : requests) {
-            if (!request.isRunning()) {
-                continue;
-            }
-            if (request.launchDelivery().isInDoubt() && request.callBody() == null && request.callReply() == null) {
-                launch(request, now);
-            }
-            // Replies that arrived are not resent: a second copy could be mistaken for the reply to the next call.
-            if (request.replyDelivery().isInDoubt() && request.callReply() != null) {
-                deliverReply(request, now);
-            }
-            if (request.isStopRequested()) {
-                dependencies.stop(request);
+            if (request.isRunning()) {
+                resolveLaunch(request, now);
+                resolveReply(request, now);
+                if (request.isStopRequested()) {
+                    dependencies.stop(request);
+                }
             }
         }
     }
+
+    private void logCommandsInDoubt(Collection<TrackedRequest> requests) {
+        long launches = requests.stream()
+                .filter(request ->
+                        request.isRunning() && request.launchDelivery().isInDoubt())
+                .count();
+        long replies = requests.stream()
+                .filter(request ->
+                        request.isRunning() && request.replyDelivery().isInDoubt())
+                .count();
+        if (launches + replies > 0) {
+            dependencies.log("agent-commands-in-doubt launches=" + launches + " replies=" + replies);
+        }
+    }
+
+    private void resolveLaunch(TrackedRequest request, Duration now) {
+        CommandDelivery delivery = request.launchDelivery();
+        boolean mayRunAgain = settings.isIdempotent(request.priorityClass());
+        if (delivery.isNotSent() || (delivery.isInDoubt() && mayRunAgain)) {
+            launch(request, now);
+        } else if (delivery.isInDoubt()) {
+            request.handle().runInDoubt(now);
+        }
+    }
+
+    private void resolveReply(TrackedRequest request, Duration now) {
+        CommandDelivery delivery = request.replyDelivery();
+        // Replies that arrived are not resent: a second copy could be mistaken for the reply to the next call.
+        if (request.callReply() != null && (delivery.isNotSent() || delivery.isInDoubt())) {
+            deliverReply(request, now);
+        }
+    }
 }
--- a/src/main/java/merlinlever/backend/RequestLifecycle.java
+++ b/src/main/java/merlinlever/backend/RequestLifecycle.java
@@ -123,6 +123,7 @@
         TrackedRequest request = requestsById.get(id);
         if (request != null && request.isRunning()) {
             batch.eventAt(now);
+            components.commands().callNeeded(request);
             components.downstreamCalls().callNeeded(request, body);
             request.handle().callNeeded(now);
         }
--- a/src/main/java/merlinlever/controller/Decision.java
+++ b/src/main/java/merlinlever/controller/Decision.java
@@ -27,6 +27,9 @@
     /** Stop the run of the request. */
     record Stop(RequestHandle request) implements Decision {}
 
+    /** Treat the run of the request as ended by an error: it may never have started, so no end may be reported. */
+    record AbandonRun(RequestHandle request) implements Decision {}
+
     /**
      * Answer the request, which was never run, with a rejection.
      *
--- a/src/main/java/merlinlever/controller/Decisions.java
+++ b/src/main/java/merlinlever/controller/Decisions.java
@@ -40,6 +40,7 @@
                 Decision.Retain.class,
                 Decision.Fail.class,
                 Decision.Stop.class,
+                Decision.AbandonRun.class,
                 Decision.Reject.class,
                 Decision.Evict.class,
                 Decision.Start.class,
--- a/src/main/java/merlinlever/controller/RequestHandle.java
+++ b/src/main/java/merlinlever/controller/RequestHandle.java
@@ -13,6 +13,12 @@
     /** Reports that the run of the request, or sharing the outcome of another request, has ended. */
     void runEnded(Duration now, Outcome outcome);
 
+    /**
+     * Reports that a command that starts or continues the run may have been lost, so that the run may make no progress
+     * and its end may never be reported. The next event of the run ends the doubt.
+     */
+    void runInDoubt(Duration now);
+
     /** Reports that the run needs a downstream call to continue. */
     void callNeeded(Duration now);
 
--- a/src/main/java/merlinlever/driver/ControllerDriver.java
+++ b/src/main/java/merlinlever/driver/ControllerDriver.java
@@ -25,6 +25,9 @@
         @Override
         public void runEnded(Duration now, Outcome outcome) {}
 
+        @Override
+        public void runInDoubt(Duration now) {}
+
         @Override
         public void callNeeded(Duration now) {}
 
--- a/src/main/java/merlinlever/driver/DecisionDispatcher.java
+++ b/src/main/java/merlinlever/driver/DecisionDispatcher.java
@@ -46,6 +46,8 @@
             handler.fail(requestOf(fail.request()));
         } else if (decision instanceof Decision.Stop stop) {
             handler.stop(requestOf(stop.request()));
+        } else if (decision instanceof Decision.AbandonRun abandon) {
+            handler.abandonRun(requestOf(abandon.request()));
         } else if (decision instanceof Decision.Reject reject) {
             handler.reject(requestOf(reject.request()), reject.isFinal(), reject.retryAfter());
         } else if (decision instanceof Decision.Evict evict) {
--- a/src/main/java/merlinlever/driver/DecisionHandler.java
+++ b/src/main/java/merlinlever/driver/DecisionHandler.java
@@ -30,6 +30,12 @@
     /** Stops the run of the request; runs that cannot be stopped continue to their end. */
     default void stop(T request) {}
 
+    /**
+     * Treats the run of the request as ended by an error, and reports this end to the request's handle; called only
+     * after {@link merlinlever.controller.RequestHandle#runInDoubt}.
+     */
+    default void abandonRun(T request) {}
+
     /**
      * Answers the request, which was never run, with a rejection.
      *
--- a/src/main/java/merlinlever/policy/Completions.java
+++ b/src/main/java/merlinlever/policy/Completions.java
@@ -43,7 +43,7 @@
     /** Updates the estimates of capacity and run time, with runs only that were not stopped. */
     private void updateEstimates(Request request, Duration now) {
         boolean completed = request.outcome() == Outcome.OK || request.outcome() == Outcome.ERROR;
-        if (completed && request.phase() == Phase.RUNNING) {
+        if (completed && !request.isAbandoned() && request.phase() == Phase.RUNNING) {
             server.capacity().recordCompletion();
             double runMs = Durations.toMillis(now.minus(request.startedAt()));
             request.priorityClass().runTimes().record(runMs, request.costHintMs());
@@ -89,16 +89,36 @@
     }
 
     private void stop(Request request) {
-        // A run is not stopped while duplicates wait for its outcome.
         boolean canStop = canStopRuns && request.phase() == Phase.RUNNING && !request.isStopping();
-        if (canStop && server.inFlight().stream().noneMatch(other -> other.sharesOutcomeOf(request))) {
+        if (canStop && (request.isAbandoned() || !isOutcomeAwaited(request))) {
             request.setStopping(true);
             server.addDecision(new Decision.Stop(request));
         }
     }
 
+    /** Whether duplicates wait for the outcome of the request's run, which is therefore not stopped. */
+    private boolean isOutcomeAwaited(Request request) {
+        return server.inFlight().stream().anyMatch(other -> other.sharesOutcomeOf(request));
+    }
+
+    /**
+     * Abandons a run that may have lost a command and has made no progress since, for as long as it takes to
+     * detect a stall. Safety rule 2: the run is not started again, as it may have taken effect.
+     */
+    private void abandonIfLost(Request request, Duration now) {
+        if (request.isInDoubt()
+                && Durations.isReached(
+                        now, request.inDoubtSince().plus(server.stallDetector().timeout()))) {
+            request.markAbandoned();
+            fail(request, now);
+            stop(request);
+            server.addDecision(new Decision.AbandonRun(request));
+        }
+    }
+
     /** Ends the request if its deadline is reached or if its answer would miss the latency objective. */
     void enforceDeadlines(Request request, Duration now) {
+        abandonIfLost(request, now);
         if (!request.isInFlight() || request.isAnswered()) {
             return;
         }
--- a/src/main/java/merlinlever/policy/Request.java
+++ b/src/main/java/merlinlever/policy/Request.java
@@ -46,6 +46,8 @@
     private Outcome outcome;
     private boolean started;
     private Duration startedAt;
+    private Duration inDoubtSince;
+    private boolean abandoned;
     private boolean callRetried;
     private Duration retainedUntil;
     private Request original;
@@ -154,6 +156,26 @@
         startedAt = now;
     }
 
+    /** Whether the run may have lost a command, and no event of the run was reported since. */
+    boolean isInDoubt() {
+        return inDoubtSince != null;
+    }
+
+    /** Returns the time since which the run is in doubt, or null. */
+    Duration inDoubtSince() {
+        return inDoubtSince;
+    }
+
+    /** Whether the run was abandoned; the time until then is no measure of run times. */
+    boolean isAbandoned() {
+        return abandoned;
+    }
+
+    void markAbandoned() {
+        abandoned = true;
+        inDoubtSince = null;
+    }
+
     /** Whether the downstream call was retried. */
     boolean wasCallRetried() {
         return callRetried;
@@ -241,9 +263,18 @@
         server.completions().runEnded(this, now, runOutcome);
     }
 
+    @Override
+    public void runInDoubt(Duration now) {
+        server.advanceClock(now);
+        if (phase == Phase.RUNNING && inDoubtSince == null) {
+            inDoubtSince = now;
+        }
+    }
+
     @Override
     public void callNeeded(Duration now) {
         server.advanceClock(now);
+        inDoubtSince = null;
         server.stallDetector().recordProgress(now);
         if (phase == Phase.RUNNING) {
             server.moveTo(this, Phase.AWAITING_CALL);
--- a/src/main/java/merlinlever/policy/StallDetector.java
+++ b/src/main/java/merlinlever/policy/StallDetector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import merlinlever.common.Durations;
+import merlinlever.policy.Request.Phase;
 
 /** Decides whether the runs on the cores are stalled, and reports the health of the server. */
 final class StallDetector {
@@ -28,7 +29,8 @@
         lastProgressAt = now;
     }
 
-    void check(Duration now) {
+    /** Returns the time without progress after which the runs are stalled. */
+    Duration timeout() {
         // A single long run is not a stall: the timeout is longer with fewer runs, and on a cold server.
         double longestRunMs = server.priorityClasses().stream()
                 .mapToDouble(priorityClass -> priorityClass.runTimes().meanMs())
@@ -37,12 +39,22 @@
         double runTimes = MIN_RUN_TIMES + ADDITIONAL_RUN_TIMES / Math.max(1, server.onCoreCount());
         Duration minTimeout =
                 Durations.ofMillis(MIN_STALL_TIMEOUT_MS / server.capacity().speedFraction());
-        Duration stallTimeout = Durations.later(minTimeout, Durations.ofMillis(longestRunMs * runTimes));
-        boolean timedOut = Durations.isReached(now, lastProgressAt.plus(stallTimeout));
-        if (stalled != (timedOut && server.onCoreCount() > 0)) {
+        return Durations.later(minTimeout, Durations.ofMillis(longestRunMs * runTimes));
+    }
+
+    void check(Duration now) {
+        boolean timedOut = Durations.isReached(now, lastProgressAt.plus(timeout()));
+        if (stalled != (timedOut && hasRunOnCore())) {
             stalled = !stalled;
             server.logStall(stalled, now.minus(lastProgressAt));
         }
         server.reportHealth(!stalled && !server.drain().hasStarted());
     }
+
+    /** Whether any run is known to be on a core; a run in doubt may never have been started. */
+    private boolean hasRunOnCore() {
+        return server.onCoreCount() > 0
+                && server.inFlight().stream()
+                        .anyMatch(request -> request.phase() == Phase.RUNNING && !request.isInDoubt());
+    }
 }
--- a/src/test/java/merlinlever/controller/SafetyRulesTest.java
+++ b/src/test/java/merlinlever/controller/SafetyRulesTest.java
@@ -83,6 +83,9 @@
                 handle.runEnded(now, outcome);
             }
 
+            @Override
+            public void runInDoubt(Duration now) {}
+
             @Override
             public void callNeeded(Duration now) {
                 handle.callNeeded(now);
