--- a/src/main/java/merlinlever/backend/directory/HeartbeatSender.java
+++ b/src/main/java/merlinlever/backend/directory/HeartbeatSender.java
@@ -12,7 +12,9 @@
 
     /**
      * Time between two heartbeats. The directory removes an entry 3 s after its last heartbeat. Five further heartbeats
-     * are due within that time, so that the loss of a quarter of all datagrams rarely removes a healthy backend.
+     * are due within that time, so that the loss of a quarter of all datagrams rarely removes a healthy backend. With
+     * one heartbeat a second, the loss of two in a row, one case in sixteen, would remove it: the third is due at the
+     * moment of the removal.
      */
     public static final Duration PERIOD = Duration.ofMillis(500);
 
--- a/src/main/java/merlinlever/dns/wire/DnsMessage.java
+++ b/src/main/java/merlinlever/dns/wire/DnsMessage.java
@@ -200,7 +200,10 @@
         position = end;
     }
 
-    /** Parses an OPT record: its class is the datagram size, its time to live holds version and flags (RFC 6891). */
+    /**
+     * Parses an OPT record: its class is the datagram size, its time to live holds version and flags (RFC 6891 section
+     * 6.1).
+     */
     private void parseEdns(byte[] owner, int recordClass, long ttl) throws MalformedDnsException {
         if (edns != null || owner.length != 1) {
             throw new MalformedDnsException("OPT record is repeated, or its owner is not the root");
--- a/src/main/java/merlinlever/driver/DecisionDispatcher.java
+++ b/src/main/java/merlinlever/driver/DecisionDispatcher.java
@@ -5,8 +5,8 @@
 import merlinlever.controller.RequestHandle;
 
 /**
- * Calls the method of a handler for each decision, with the handler's request in place of the controller's handle. Not
- * thread-safe.
+ * Calls the method of a handler for each decision, with the handler's request in place of the controller's handle. This
+ * is the only place that tells the kinds of decisions apart in order to carry them out. Not thread-safe.
  *
  * @param <T> the handler's representation of a request
  */
--- a/src/main/java/merlinlever/fleet/membership/RelayedPings.java
+++ b/src/main/java/merlinlever/fleet/membership/RelayedPings.java
@@ -33,7 +33,7 @@
         this.settings = settings;
     }
 
-    /** Adds a ping that is sent now with the given correlation id. */
+    /** Adds a ping that is sent now with the given correlation id. The nack is due after four fifths of the timeout. */
     void add(Duration now, long correlationId, String requester, long requestId) {
         Duration timeout = settings.pingTimeout();
         Duration nackAt = now.plus(timeout.minus(timeout.dividedBy(NACK_LEAD_DIVISOR)));
--- a/src/main/java/merlinlever/fleet/routes/RouteSelector.java
+++ b/src/main/java/merlinlever/fleet/routes/RouteSelector.java
@@ -189,7 +189,7 @@
 
     /**
      * A 64-bit hash of the key and the address: FNV-1a, followed by the finalizer of SplittableRandom (Stafford's
-     * variant 13).
+     * variant 13). Written out here because {@code serve} loads no library with hash functions.
      */
     private static long hash(String key, String address) {
         long hash = 0xcbf29ce484222325L;
--- a/src/main/java/merlinlever/fleet/view/ViewAdoption.java
+++ b/src/main/java/merlinlever/fleet/view/ViewAdoption.java
@@ -101,7 +101,7 @@
         return memberOrder.get(index);
     }
 
-    /** Encodes the latest view; see {@link ViewCodec#encode}. */
+    /** Encodes the latest view, as a difference from the view with the base number if that one is remembered. */
     byte[] encodeLatest(long baseNumber) {
         return codec.encode(latestKnown, baseNumber);
     }
--- a/src/main/java/merlinlever/policy/AdmissionControl.java
+++ b/src/main/java/merlinlever/policy/AdmissionControl.java
@@ -77,6 +77,7 @@
             Duration retryAfter = Durations.earlier(maxRetryAfter, untilPermitted);
             completions.reject(request, now, RejectionReason.IDEMPOTENCY_UNKNOWN, false, retryAfter);
         } else if (server.onCoreCount() >= server.cores() && missesObjective) {
+            // A run that cannot meet its objective would be wasted work.
             boolean isFinal = request.isRetry() || isReadingExpensive();
             completions.reject(request, now, RejectionReason.OBJECTIVE_UNREACHABLE, isFinal, maxRetryAfter);
         } else if (isRejectedAtRandom(request)) {
--- a/src/main/java/merlinlever/policy/DecayingHistogram.java
+++ b/src/main/java/merlinlever/policy/DecayingHistogram.java
@@ -3,7 +3,10 @@
 import java.util.Arrays;
 import java.util.stream.IntStream;
 
-/** Histogram with exponentially growing bins; all counts are halved when their total exceeds a maximum. */
+/**
+ * Histogram of values from 1 with exponentially growing bins. All counts are halved when their total
+ * exceeds a maximum.
+ */
 final class DecayingHistogram {
     private final double[] counts;
     private final double binRatio;
--- a/src/main/java/merlinlever/policy/DownstreamCalls.java
+++ b/src/main/java/merlinlever/policy/DownstreamCalls.java
@@ -106,7 +106,8 @@
         }
         server.moveTo(request, Phase.AWAITING_CALL);
         // Safety rule 2: a call that may have taken effect is retried only for an idempotent request. Calls
-        // that were rejected, failed or timed out are not retried: the service may be overloaded.
+        // that were rejected, failed or timed out are not retried: they have been tried elsewhere, and the
+        // service may be overloaded.
         boolean isSafeToRepeat =
                 outcome == Outcome.CONNECTION_LOST && request.priorityClass().isIdempotent();
         if ((isSafeToRepeat || outcome == Outcome.UNREACHABLE) && !request.wasCallRetried()) {
--- a/src/main/java/merlinlever/policy/RunQueueGauge.java
+++ b/src/main/java/merlinlever/policy/RunQueueGauge.java
@@ -21,7 +21,11 @@
         }
     }
 
-    /** Corrects the estimate for a run that started, ended, or began or ended a downstream call. */
+    /**
+     * Corrects the estimate for a run that started, ended, or began or ended a downstream call. The last
+     * sample still counts runs that have left the cores since, and does not count runs that have come back
+     * from a call.
+     */
     void phaseChanged(Phase from, Phase to) {
         changeSinceSample += (to == Phase.RUNNING ? 1 : 0) - (from == Phase.RUNNING ? 1 : 0);
     }
--- a/src/main/java/merlinlever/policy/ServerState.java
+++ b/src/main/java/merlinlever/policy/ServerState.java
@@ -288,7 +288,7 @@
         adjustCounts(request, 1);
     }
 
-    /** Changes the phase of a request. An illegal change fails if assertions are on, else is logged. */
+    /** Changes the phase of a request. An illegal change fails with assertions, else is logged and made. */
     void moveTo(Request request, Phase phase) {
         boolean legal = phaseTransitions.isLegal(request.phase(), phase);
         assert legal : "illegal phase change from " + request.phase() + " to " + phase;
