--- a/src/test/java/merlinlever/backend/BackendFixture.java
+++ b/src/test/java/merlinlever/backend/BackendFixture.java
@@ -157,6 +157,41 @@
         decide();
     }
 
+    /** Receives an idempotent request whose run gets the reply to its first call. */
+    String receiveAndReply() {
+        String id = receive("look", null, "a");
+        requestCall(id);
+        endCall(id, Outcome.OK);
+        return id;
+    }
+
+    void loseLink() {
+        backend.agentLinkLost(now);
+    }
+
+    void restoreLink() {
+        backend.agentLinkRestored(now);
+    }
+
+    void catchUp() {
+        backend.agentEventsCaughtUp(now);
+        decide();
+    }
+
+    void replaceLink() {
+        loseLink();
+        restoreLink();
+        catchUp();
+    }
+
+    /** Returns the names of the commands for the request, in order. */
+    List<String> commandsOf(String id) {
+        return commands.stream()
+                .filter(command -> command.endsWith(" " + id))
+                .map(command -> command.substring(0, command.indexOf(' ')))
+                .toList();
+    }
+
     long count(String command) {
         return commands.stream().filter(command::equals).count();
     }
