A run in doubt counts neither for the capacity nor for a stall

Cause: a launch that may be lost counted as a run on a core until it was abandoned, 1 s. CapacityEstimator divides completions by busy time, so a few runs that never began lowered the young estimate, and random early detection refused more.

Change: ServerState.markInDoubt takes the run off the count of the cores until its next phase; it still counts towards the crowd and the memory. StallDetector needs no rule of its own for it any more.

--- a/src/main/java/merlinlever/policy/Completions.java
+++ b/src/main/java/merlinlever/policy/Completions.java
@@ -107,6 +107,7 @@
      */
     private void abandonIfLost(Request request, Duration now) {
         if (request.isInDoubt()
+                && !request.isAbandoned()
                 && Durations.isReached(
                         now, request.inDoubtSince().plus(server.stallDetector().timeout()))) {
             request.markAbandoned();
--- a/src/main/java/merlinlever/policy/Request.java
+++ b/src/main/java/merlinlever/policy/Request.java
@@ -112,6 +112,7 @@
     /** Sets the phase; called only by {@link ServerState#moveTo}, which validates the transition. */
     void setPhase(Phase next) {
         phase = next;
+        inDoubtSince = null;
     }
 
     /** Whether the request was answered or no longer needs an answer. */
@@ -173,7 +174,11 @@
 
     void markAbandoned() {
         abandoned = true;
-        inDoubtSince = null;
+    }
+
+    /** Puts the run in doubt until its next phase; called only by {@link ServerState#markInDoubt}. */
+    void setInDoubtSince(Duration now) {
+        inDoubtSince = now;
     }
 
     /** Whether the downstream call was retried. */
@@ -266,15 +271,14 @@
     @Override
     public void runInDoubt(Duration now) {
         server.advanceClock(now);
-        if (phase == Phase.RUNNING && inDoubtSince == null) {
-            inDoubtSince = now;
+        if (phase == Phase.RUNNING && !isInDoubt()) {
+            server.markInDoubt(this, now);
         }
     }
 
     @Override
     public void callNeeded(Duration now) {
         server.advanceClock(now);
-        inDoubtSince = null;
         server.stallDetector().recordProgress(now);
         if (phase == Phase.RUNNING) {
             server.moveTo(this, Phase.AWAITING_CALL);
--- a/src/main/java/merlinlever/policy/ServerState.java
+++ b/src/main/java/merlinlever/policy/ServerState.java
@@ -46,6 +46,7 @@
 
     private int queuedCount;
     private int onCoreCount;
+    private int inDoubtCount;
     private int awaitingCallCount;
     private int inCallCount;
     private double usedMemoryKb;
@@ -269,9 +270,9 @@
         return inCallCount;
     }
 
-    /** Returns the number of requests that run or wait for a downstream call. */
+    /** Returns the number of requests that run, may run, or wait for a downstream call. */
     int startedCount() {
-        return onCoreCount + awaitingCallCount + inCallCount;
+        return onCoreCount + inDoubtCount + awaitingCallCount + inCallCount;
     }
 
     double usedMemoryKb() {
@@ -301,11 +302,27 @@
         adjustCounts(request, 1);
     }
 
+    /**
+     * Marks a run that may have lost a command. Until its next phase the run does not count as on a core: if
+     * it never started, it would lower the estimate of the capacity, and would be taken for a stall.
+     */
+    void markInDoubt(Request request, Duration time) {
+        adjustCounts(request, -1);
+        request.setInDoubtSince(time);
+        adjustCounts(request, 1);
+    }
+
     private void adjustCounts(Request request, int sign) {
         usedMemoryKb += sign * (request.phase() == Phase.FINISHED ? 0 : request.usedMemoryKb());
         switch (request.phase()) {
             case QUEUED -> queuedCount += sign;
-            case RUNNING -> onCoreCount += sign;
+            case RUNNING -> {
+                if (request.isInDoubt()) {
+                    inDoubtCount += sign;
+                } else {
+                    onCoreCount += sign;
+                }
+            }
             case AWAITING_CALL -> awaitingCallCount += sign;
             case IN_CALL -> inCallCount += sign;
             case AWAITING_ORIGINAL, SHARING_OUTCOME, FINISHED -> {}
--- a/src/main/java/merlinlever/policy/StallDetector.java
+++ b/src/main/java/merlinlever/policy/StallDetector.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import merlinlever.common.Durations;
-import merlinlever.policy.Request.Phase;
 
 /** Decides whether the runs on the cores are stalled, and reports the health of the server. */
 final class StallDetector {
@@ -44,17 +43,10 @@
 
     void check(Duration now) {
         boolean timedOut = Durations.isReached(now, lastProgressAt.plus(timeout()));
-        if (stalled != (timedOut && hasRunOnCore())) {
+        if (stalled != (timedOut && server.onCoreCount() > 0)) {
             stalled = !stalled;
             server.logStall(stalled, now.minus(lastProgressAt));
         }
         server.reportHealth(!stalled && !server.drain().hasStarted());
     }
-
-    /** Whether any run is known to be on a core; a run in doubt may never have been started. */
-    private boolean hasRunOnCore() {
-        return server.onCoreCount() > 0
-                && server.inFlight().stream()
-                        .anyMatch(request -> request.phase() == Phase.RUNNING && !request.isInDoubt());
-    }
 }
