Commands in doubt: one predicate for the reply, one step in the tests for a replaced link

Both call isReplyInDoubt now, and the running requests are selected once; only that count in the log changes. Tests that wrote out the loss, return and catch-up of the link call BackendFixture.replaceLink, and one receiveAndReply; their assertions are as they were. Two comments told the old state of things.

--- a/src/main/java/merlinlever/backend/InDoubtCommands.java
+++ b/src/main/java/merlinlever/backend/InDoubtCommands.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Sends launch and reply commands to the agent, and handles commands that a broken link may have lost. A command is in
@@ -94,8 +95,7 @@
     private void resolve(TrackedRequest request, Duration now) {
         boolean restartInDoubt =
                 request.isRestarting() && request.launchDelivery().isInDoubt();
-        boolean replyInDoubt =
-                request.callReply() != null && request.replyDelivery().isInDoubt();
+        boolean replyInDoubt = isReplyInDoubt(request);
         boolean canRestart = !request.isStopRequested() && settings.canRestartRuns(request.priorityClass());
         if (restartInDoubt || (replyInDoubt && canRestart)) {
             restart(request, now);
@@ -117,15 +117,18 @@
         launch(request, now);
     }
 
+    /** Returns whether the reply to the run's last call is in doubt; a restarted run has no reply any more. */
+    private static boolean isReplyInDoubt(TrackedRequest request) {
+        return request.callReply() != null && request.replyDelivery().isInDoubt();
+    }
+
     private void logCommandsInDoubt(Collection<TrackedRequest> requests) {
-        long launches = requests.stream()
-                .filter(request ->
-                        request.isRunning() && request.launchDelivery().isInDoubt())
-                .count();
-        long replies = requests.stream()
-                .filter(request ->
-                        request.isRunning() && request.replyDelivery().isInDoubt())
+        List<TrackedRequest> running =
+                requests.stream().filter(TrackedRequest::isRunning).toList();
+        long launches = running.stream()
+                .filter(request -> request.launchDelivery().isInDoubt())
                 .count();
+        long replies = running.stream().filter(InDoubtCommands::isReplyInDoubt).count();
         if (launches + replies > 0) {
             dependencies.log("agent-commands-in-doubt launches=" + launches + " replies=" + replies);
         }
--- a/src/main/java/merlinlever/backend/TrackedRequest.java
+++ b/src/main/java/merlinlever/backend/TrackedRequest.java
@@ -41,7 +41,7 @@
     private boolean launched;
     /** Whether a stop command was sent; written by {@link RequestLifecycle} and {@link DecisionExecutor}. */
     private boolean stopRequested;
-    /** Whether the run was stopped to be launched again, and its end is not yet reported. */
+    /** Whether a run is being restarted; written by {@link InDoubtCommands} and {@link RequestLifecycle}. */
     private boolean restarting;
     /** The outcome; null before the end; written by {@link RequestLifecycle} and {@link ResponseTracker}. */
     private Outcome outcome;
--- a/src/main/java/merlinlever/backend/agent/AgentLink.java
+++ b/src/main/java/merlinlever/backend/agent/AgentLink.java
@@ -297,7 +297,7 @@
         backend.agentStarted(loop.clock().now(), greeting.isCold());
     }
 
-    /** Handles a later greeting: sends a catch-up poll, after which the backend sends unconfirmed commands again. */
+    /** Handles a later greeting: sends a catch-up poll, after which the backend handles commands in doubt. */
     private void handleReconnect() {
         log.info("agent-link-restored");
         backend.agentLinkRestored(loop.clock().now());
--- a/src/test/java/merlinlever/backend/InDoubtCommandsTest.java
+++ b/src/test/java/merlinlever/backend/InDoubtCommandsTest.java
@@ -76,9 +76,7 @@
     void keyedRunThatEndsAfterCatchingUpIsNotLaunchedAgain() {
         BackendFixture fixture = new BackendFixture();
         String id = fixture.receive("buy", "t", "a");
-        fixture.loseLink();
-        fixture.restoreLink();
-        fixture.catchUp();
+        fixture.replaceLink();
         // The agent reports the end after its answer to the catch-up poll, when a resent launch is on its way.
         fixture.endRun(id, Outcome.OK, "done");
         assertEquals(List.of("launch " + id), fixture.commands);
@@ -95,9 +93,7 @@
         RequestMetadata lost = fixture.metadata(TestRequests.idOf(++fixture.lastId), "buy", timing, "t", null);
         fixture.receive(lost, "a");
         fixture.decide();
-        fixture.loseLink();
-        fixture.restoreLink();
-        fixture.catchUp();
+        fixture.replaceLink();
         String duplicate = fixture.receive("buy", "t", "a");
         // A run that may never have started must not lower the estimate of the capacity.
         assertEquals(0, fixture.backend.metrics().orElseThrow().requests().onCores());
@@ -121,9 +117,7 @@
     void keyedRunThatReachesItsCallIsNotAbandoned() {
         BackendFixture fixture = new BackendFixture();
         String id = fixture.receive("buy", "t", "a");
-        fixture.loseLink();
-        fixture.restoreLink();
-        fixture.catchUp();
+        fixture.replaceLink();
         fixture.requestCall(id);
         fixture.endCall(id, Outcome.OK);
         fixture.advance(990);
--- a/src/test/java/merlinlever/backend/ReplyInDoubtTest.java
+++ b/src/test/java/merlinlever/backend/ReplyInDoubtTest.java
@@ -129,9 +129,7 @@
     @Test
     void runWhoseReplyWasSentShortlyBeforeTheBreakIsRestarted() {
         BackendFixture fixture = new BackendFixture();
-        String id = fixture.receive("look", null, "a");
-        fixture.requestCall(id);
-        fixture.endCall(id, Outcome.OK);
+        String id = fixture.receiveAndReply();
         fixture.advance(45);
         fixture.backend.agentLinkLost(fixture.now);
         fixture.backend.agentLinkRestored(fixture.now.plusMillis(1));
