--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -57,6 +57,9 @@
             record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
             log("TROUBLE=" + (TROUBLE ? 1 : 0));
             Runtime.getRuntime().addShutdownHook(new Thread(Kit::killAll));
+            Thread limit = new Thread(Kit::endInTime, "limit");
+            limit.setDaemon(true);
+            limit.start();
             status = one.run() ? 0 : 1;
             log(status == 0 ? "the rule held" : "the rule was BROKEN");
         } catch (Throwable e) {
@@ -76,6 +79,18 @@
         Runtime.getRuntime().halt(status);
     }
 
+    /** A case takes 120 s at most; one that is not over by then could not run. */
+    private static void endInTime() {
+        try {
+            Thread.sleep(115_000);
+        } catch (InterruptedException e) {
+            return;
+        }
+        log("the case could not run: it is not over after 115 s");
+        killAll();
+        Runtime.getRuntime().halt(2);
+    }
+
     static long ms() {
         return (System.nanoTime() - BEGAN) / 1_000_000;
     }
